--- /dev/null
+++ b/include/geraniumcart/member.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace geraniumcart {
+
+enum class MemberState : std::uint8_t {
+    Alive,
+    Suspect,
+    /// Announced its planned stop; serves until callers' lists have run out.
+    Leaving,
+    Left,
+    Dead,
+};
+const char *toString(MemberState state);
+
+/// A daemon as its peers know it.
+struct Member
+{
+    std::string name;
+    std::string zone;
+    /// Where callers connect.
+    std::string address;
+    /// Where peers connect.
+    std::string peerAddress;
+    /// Grows when the member restarts or refutes a suspicion.
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Alive;
+    bool operator==(const Member &) const = default;
+};
+
+} // namespace geraniumcart
--- /dev/null
+++ b/include/geraniumcart/snapshot.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <geraniumcart/catalog.h>
+#include <geraniumcart/rules.h>
+#include <geraniumcart/upstream_state.h>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace geraniumcart {
+
+/// A searcher as one snapshot sees it.
+struct Searcher
+{
+    SearcherEntry entry;
+    /// Name of the daemon that dispatches to it; empty for this one.
+    std::string owner;
+    /// Process-wide state; outlives every snapshot.
+    std::shared_ptr<UpstreamState> state;
+};
+
+/// One index version of a service and who serves each of its shards.
+struct IndexView
+{
+    PartitionMap partitions;
+    /// Indices into ServiceRouting::searchers, for each shard.
+    std::vector<std::vector<std::uint32_t>> replicas;
+    /// Shards that have at least one replica.
+    std::uint32_t coveredShards = 0;
+};
+
+/// Share of sub-requests that a back-end version receives while a move is under way.
+struct VersionShare
+{
+    std::string version;
+    double share = 1.0;
+};
+
+/// Everything a request needs of one service.
+struct ServiceRouting
+{
+    std::string name;
+    SearcherLimits limits;
+    std::vector<Searcher> searchers;
+    /// The index version that new queries use; absent while no shard map is known.
+    std::optional<IndexView> view;
+    /// Empty while no move is under way: all versions are equal.
+    std::vector<VersionShare> versionShares;
+};
+
+/// An address that callers may use.
+struct EntryAddress
+{
+    std::string address;
+    std::string zone;
+    std::uint32_t weight = 1;
+    bool operator==(const EntryAddress &) const = default;
+};
+
+/// Immutable routing state. Requests pin the one in force at their start.
+struct RoutingSnapshot
+{
+    /// Grows with each snapshot this process publishes.
+    std::uint64_t generation = 0;
+    /// Object version of the rules in force; 0 before any were accepted.
+    std::uint64_t rulesVersion = 0;
+    RuleSet rules;
+    std::map<std::string, std::shared_ptr<const ServiceRouting>, std::less<>> services;
+    std::vector<EntryAddress> entries;
+    /// Members that share the work, this daemon included.
+    std::uint32_t liveMembers = 1;
+    /// True once rules, catalog and hosts were all read.
+    bool isComplete = false;
+    /// False when this daemon's zone is out or it is leaving.
+    bool acceptsNewWork = true;
+};
+
+class SnapshotPublisher;
+
+/// Keeps one snapshot alive. Cheap to move; taking one costs an atomic increment.
+class SnapshotPin
+{
+public:
+    SnapshotPin() = default;
+    SnapshotPin(SnapshotPin &&other) noexcept
+        : m_box(std::exchange(other.m_box, nullptr))
+    {
+    }
+    SnapshotPin &operator=(SnapshotPin &&other) noexcept;
+    SnapshotPin(const SnapshotPin &other);
+    SnapshotPin &operator=(const SnapshotPin &other);
+    ~SnapshotPin();
+
+    explicit operator bool() const { return m_box != nullptr; }
+    const RoutingSnapshot &operator*() const;
+    const RoutingSnapshot *operator->() const { return &**this; }
+
+private:
+    friend class SnapshotPublisher;
+    struct Box;
+    explicit SnapshotPin(Box *box)
+        : m_box(box)
+    {
+    }
+    void release();
+
+    Box *m_box = nullptr;
+};
+
+/// Publishes snapshots by read-copy-update. pin() may be called from any thread and never waits;
+/// publish() belongs to one thread.
+class SnapshotPublisher
+{
+public:
+    SnapshotPublisher();
+    ~SnapshotPublisher();
+    SnapshotPublisher(const SnapshotPublisher &) = delete;
+    SnapshotPublisher &operator=(const SnapshotPublisher &) = delete;
+
+    void publish(RoutingSnapshot snapshot);
+    /// The snapshot in force; an empty one before the first publish().
+    SnapshotPin pin() const;
+
+private:
+    SnapshotPin::Box *m_current = nullptr;
+};
+
+} // namespace geraniumcart
