--- /dev/null
+++ b/src/process/asio_timer_service.cpp
@@ -0,0 +1,58 @@
+#include "process/asio_timer_service_p.h"
+
+#include <algorithm>
+
+namespace geraniumcart {
+
+TimerId AsioTimerService::schedule(Duration delay, std::function<void()> callback)
+{
+    const TimerId id = ++m_lastId;
+    const TimePoint due = now() + std::max(delay, Duration::zero());
+    m_timers.emplace(Key{due, id}, std::move(callback));
+    m_dueById.emplace(id, due);
+    if (due < m_armedFor)
+        arm();
+    return id;
+}
+
+void AsioTimerService::cancel(TimerId id)
+{
+    const auto found = m_dueById.find(id);
+    if (found == m_dueById.end())
+        return;
+    m_timers.erase(Key{found->second, id});
+    m_dueById.erase(found);
+}
+
+void AsioTimerService::arm()
+{
+    if (m_timers.empty()) {
+        m_armedFor = TimePoint::max();
+        return;
+    }
+    m_armedFor = m_timers.begin()->first.due;
+    m_timer.expires_at(m_armedFor);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            fire();
+    });
+}
+
+void AsioTimerService::fire()
+{
+    // Timers added by the callbacks wait for the next turn, so that a callback that schedules
+    // itself without delay cannot hold up the thread.
+    const TimerId lastId = m_lastId;
+    const TimePoint due = now();
+    m_armedFor = TimePoint::min();
+    while (!m_timers.empty() && m_timers.begin()->first.due <= due) {
+        if (m_timers.begin()->first.id > lastId)
+            break;
+        auto timer = m_timers.extract(m_timers.begin());
+        m_dueById.erase(timer.key().id);
+        timer.mapped()();
+    }
+    arm();
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/worker_pool_p.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "process/asio_timer_service_p.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace geraniumcart {
+
+/// One thread with its own io_context and timers.
+struct Worker
+{
+    explicit Worker(std::uint32_t workerIndex);
+
+    const std::uint32_t index;
+    boost::asio::io_context context{1};
+    AsioTimerService timers{context};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keepRunning;
+    std::thread thread;
+};
+
+/// The threads on which requests run. Each object of a request or connection stays on one worker.
+class WorkerPool
+{
+public:
+    explicit WorkerPool(std::uint32_t count);
+    ~WorkerPool();
+
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_workers.size()); }
+    Worker &worker(std::uint32_t index) { return *m_workers[index]; }
+    /// Worker that keeps the connections to a searcher.
+    Worker &homeOf(std::string_view address);
+
+    void start();
+    /// Ends the threads after the handler that each is in; pending work is dropped.
+    void stop();
+
+private:
+    std::vector<std::unique_ptr<Worker>> m_workers;
+};
+
+} // namespace geraniumcart
