--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,355 @@
+#include <geraniumcart/config.h>
+#include <geraniumcart/membership.h>
+
+#include <algorithm>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Members carried by one message; about 100 bytes each keep a heartbeat below two kilobytes.
+constexpr std::size_t GossipMembers = 16;
+
+bool isPresent(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect ||
+           state == MemberState::Leaving;
+}
+
+/// Order in which states of the same incarnation replace each other.
+int rankOf(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return 0;
+    case MemberState::Suspect:
+        return 1;
+    case MemberState::Leaving:
+        return 2;
+    case MemberState::Dead:
+        return 3;
+    case MemberState::Left:
+        return 4;
+    }
+    return 0;
+}
+
+} // namespace
+
+const char *toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Left:
+        return "left";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+Membership::Membership(MembershipConfig config, TimerService &timers, PeerNetwork &network,
+                       GossipExchange &exchange, ChangedCallback changed)
+    : m_config(std::move(config))
+    , m_timers(timers)
+    , m_network(network)
+    , m_exchange(exchange)
+    , m_changed(std::move(changed))
+    , m_random(m_config.seed)
+{
+    // A restarted daemon must supersede what peers remember of its predecessor.
+    if (m_config.self.incarnation == 0)
+        m_config.self.incarnation =
+                static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                   timers.wallNow().time_since_epoch())
+                                                   .count());
+}
+
+void Membership::start()
+{
+    contactSeeds();
+    probeNext();
+}
+
+void Membership::setSeeds(std::vector<std::string> seeds)
+{
+    for (std::string &seed : seeds)
+        if (seed != m_config.self.peerAddress &&
+            std::find(m_config.seeds.begin(), m_config.seeds.end(), seed) == m_config.seeds.end())
+            m_config.seeds.push_back(std::move(seed));
+    // The host list lags, so addresses of hosts long gone would pile up.
+    if (m_config.seeds.size() > MaxMembers)
+        m_config.seeds.erase(m_config.seeds.begin(), m_config.seeds.end() - MaxMembers);
+}
+
+void Membership::contactSeeds()
+{
+    // Seeds are asked again for as long as this daemon runs: after a partition in which both sides
+    // declared each other dead, only this brings them together.
+    for (const std::string &seed : m_config.seeds) {
+        const bool isKnown = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+            return entry.second.member.peerAddress == seed && isPresent(entry.second.member.state);
+        });
+        if (!isKnown)
+            m_network.send(seed, PeerPing{0, makeGossip()});
+    }
+}
+
+std::string Membership::nextTarget()
+{
+    while (true) {
+        while (!m_round.empty()) {
+            std::string name = std::move(m_round.back());
+            m_round.pop_back();
+            const auto found = m_peers.find(name);
+            if (found != m_peers.end() && isPresent(found->second.member.state))
+                return name;
+        }
+        for (const auto &[name, peer] : m_peers)
+            if (isPresent(peer.member.state))
+                m_round.push_back(name);
+        if (m_round.empty())
+            return {};
+        std::shuffle(m_round.begin(), m_round.end(), m_random);
+        contactSeeds();
+    }
+}
+
+void Membership::probeNext()
+{
+    expire();
+    const std::string target = nextTarget();
+    if (target.empty()) {
+        contactSeeds();
+    } else {
+        const std::uint64_t sequence = ++m_lastSequence;
+        m_probes[sequence] = {target, {}, 0};
+        m_network.send(m_peers[target].member.peerAddress, PeerPing{sequence, makeGossip()});
+        m_timers.schedule(m_config.ackTimeout, [this, sequence] { onAckTimeout(sequence); });
+        m_timers.schedule(m_config.probeTimeout, [this, sequence] { onProbeTimeout(sequence); });
+    }
+    m_timers.schedule(m_config.probeInterval, [this] { probeNext(); });
+}
+
+void Membership::onAckTimeout(std::uint64_t sequence)
+{
+    const auto probe = m_probes.find(sequence);
+    if (probe == m_probes.end())
+        return;
+    std::vector<std::string> relays;
+    for (const auto &[name, peer] : m_peers)
+        if (name != probe->second.target && peer.member.state == MemberState::Alive)
+            relays.push_back(peer.member.peerAddress);
+    std::shuffle(relays.begin(), relays.end(), m_random);
+    relays.resize(std::min<std::size_t>(relays.size(), m_config.relays));
+    for (const std::string &relay : relays)
+        m_network.send(relay, PeerPingRequest{sequence, probe->second.target, makeGossip()});
+}
+
+void Membership::onProbeTimeout(std::uint64_t sequence)
+{
+    const auto probe = m_probes.find(sequence);
+    if (probe == m_probes.end())
+        return;
+    const Probe ended = probe->second;
+    m_probes.erase(probe);
+    if (ended.relayTo.empty())
+        suspect(ended.target);
+}
+
+void Membership::suspect(const std::string &name)
+{
+    const auto found = m_peers.find(name);
+    if (found == m_peers.end())
+        return;
+    Member member = found->second.member;
+    if (member.state == MemberState::Alive) {
+        member.state = MemberState::Suspect;
+        setPeer(found->second, member);
+    } else if (member.state == MemberState::Leaving) {
+        member.state = MemberState::Left;
+        setPeer(found->second, member);
+    }
+}
+
+void Membership::expire()
+{
+    const TimePoint now = m_timers.now();
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        return !isPresent(peer.member.state) && now - peer.since > m_config.tombstoneTime;
+    });
+    for (auto &[name, peer] : m_peers) {
+        if (peer.member.state != MemberState::Suspect ||
+            now - peer.since < m_config.suspicionTimeout)
+            continue;
+        Member member = peer.member;
+        member.state = MemberState::Dead;
+        setPeer(peer, member);
+    }
+}
+
+void Membership::onHello(const PeerHello &hello)
+{
+    applyMember(hello.self);
+}
+
+void Membership::onPing(const std::string &fromAddress, const PeerPing &ping)
+{
+    takeGossip(fromAddress, ping.gossip);
+    m_network.send(fromAddress, PeerAck{ping.sequence, m_config.self.name, makeGossip()});
+}
+
+void Membership::onAck(const std::string &fromAddress, const PeerAck &ack)
+{
+    takeGossip(fromAddress, ack.gossip);
+    const auto found = m_probes.find(ack.sequence);
+    if (found == m_probes.end() || found->second.target != ack.target)
+        return;
+    const Probe probe = found->second;
+    m_probes.erase(found);
+    if (!probe.relayTo.empty())
+        m_network.send(probe.relayTo, PeerAck{probe.relaySequence, probe.target, makeGossip()});
+}
+
+void Membership::onPingRequest(const std::string &fromAddress, const PeerPingRequest &request)
+{
+    takeGossip(fromAddress, request.gossip);
+    const auto target = m_peers.find(request.target);
+    if (target == m_peers.end())
+        return;
+    const std::uint64_t sequence = ++m_lastSequence;
+    m_probes[sequence] = {request.target, fromAddress, request.sequence};
+    m_network.send(target->second.member.peerAddress, PeerPing{sequence, makeGossip()});
+    m_timers.schedule(m_config.probeTimeout, [this, sequence] { onProbeTimeout(sequence); });
+}
+
+bool Membership::supersedes(const Member &news, const Member &held) const
+{
+    if (news.incarnation != held.incarnation)
+        return news.incarnation > held.incarnation;
+    return rankOf(news.state) > rankOf(held.state);
+}
+
+void Membership::applyMember(const Member &member)
+{
+    if (member.name == m_config.self.name) {
+        applyAboutSelf(member);
+        return;
+    }
+    const auto found = m_peers.find(member.name);
+    if (found != m_peers.end()) {
+        if (supersedes(member, found->second.member))
+            setPeer(found->second, member);
+        return;
+    }
+    if (m_peers.size() >= MaxMembers || !isPresent(member.state))
+        return;
+    Peer &peer = m_peers[member.name];
+    peer.member.state = MemberState::Left;
+    setPeer(peer, member);
+}
+
+void Membership::applyAboutSelf(const Member &member)
+{
+    // Someone holds news of this daemon that it did not spread itself: a suspicion, a death, or a
+    // predecessor's planned stop. A higher incarnation refutes it.
+    const bool isRefutable = member.incarnation > m_config.self.incarnation ||
+                             (member.incarnation == m_config.self.incarnation &&
+                              member.state != m_config.self.state);
+    if (!isRefutable)
+        return;
+    m_config.self.incarnation = member.incarnation;
+    bumpSelf(m_config.self.state);
+}
+
+void Membership::setPeer(Peer &peer, const Member &member)
+{
+    const bool wasPresent = isPresent(peer.member.state);
+    if (wasPresent && member.state == MemberState::Dead)
+        m_lastUncleanLoss = m_timers.now();
+    peer.member = member;
+    peer.since = m_timers.now();
+    peer.transmissions = 0;
+    m_changed();
+}
+
+void Membership::takeGossip(const std::string &fromAddress, const Gossip &gossip)
+{
+    for (const Member &member : gossip.members)
+        applyMember(member);
+    m_exchange.take(fromAddress, gossip);
+}
+
+Gossip Membership::makeGossip()
+{
+    Gossip gossip;
+    gossip.members.push_back(m_config.self);
+    std::vector<Peer *> peers;
+    for (auto &[name, peer] : m_peers)
+        peers.push_back(&peer);
+    // The least told news goes first; once all is told, the counts make the rest take turns.
+    const std::size_t count = std::min(peers.size(), GossipMembers - 1);
+    std::partial_sort(
+            peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(count), peers.end(),
+            [](const Peer *a, const Peer *b) { return a->transmissions < b->transmissions; });
+    for (std::size_t i = 0; i < count; ++i) {
+        ++peers[i]->transmissions;
+        gossip.members.push_back(peers[i]->member);
+    }
+    m_exchange.fill(gossip);
+    return gossip;
+}
+
+void Membership::bumpSelf(MemberState state)
+{
+    m_config.self.state = state;
+    ++m_config.self.incarnation;
+    m_changed();
+    broadcast();
+}
+
+void Membership::broadcast()
+{
+    for (const auto &[name, peer] : m_peers)
+        if (isPresent(peer.member.state))
+            m_network.send(peer.member.peerAddress, PeerPing{0, makeGossip()});
+}
+
+void Membership::announceLeaving()
+{
+    bumpSelf(MemberState::Leaving);
+}
+
+void Membership::announceLeft()
+{
+    bumpSelf(MemberState::Left);
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> members{m_config.self};
+    for (const auto &[name, peer] : m_peers)
+        members.push_back(peer.member);
+    return members;
+}
+
+std::uint32_t Membership::aliveCount() const
+{
+    return 1 + static_cast<std::uint32_t>(
+                       std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+                           return entry.second.member.state == MemberState::Alive;
+                       }));
+}
+
+bool Membership::isQuarantined() const
+{
+    return m_lastUncleanLoss && m_timers.now() - *m_lastUncleanLoss < m_config.quarantine;
+}
+
+} // namespace geraniumcart
