--- a/include/geraniumcart/config.h
+++ b/include/geraniumcart/config.h
@@ -47,6 +47,9 @@
 /// How long a caller may keep the list of entry addresses. Two seconds plus one round trip stay
 /// inside the "few seconds" within which a zone taken out must receive no new work.
 inline constexpr std::chrono::milliseconds EntriesValidFor{2000};
+/// Longest wait for the answer to one call on the object store, which answers in milliseconds.
+/// A watch may take its own waiting time on top.
+inline constexpr std::chrono::milliseconds StoreCallLimit{2000};
 /// A connection that holds an answer back for this long after its deadline is replaced.
 inline constexpr std::chrono::milliseconds SilenceBound{250};
 
