Add the decisions of a search and of a booking

Cause: the whole path from caller to searcher needs the part that decides what is sent where and how it ends.

Change: replica choice (least loaded, random) with shares of back-end versions, hedging by a live latency quantile, attempt budgets, search and booking runs, idempotency claims over the object store with a codec, and statistics with histograms for each tenant and class. SearchContext may carry the statistics; ClaimResult carries the version of the claim, which the record is conditional on.

--- a/include/geraniumcart/booking.h
+++ b/include/geraniumcart/booking.h
@@ -53,21 +53,40 @@
 {
     ClaimState state = ClaimState::Unconfirmed;
     BookingResult recorded;
-    /// Names the claim to record().
+    /// Nonce and object version of a claim that is ours; record() needs them.
     std::string nonce;
+    std::uint64_t version = 0;
 };
 
-/// Claims on idempotency keys, kept in the store as `claims/{tenant}/{key}`.
+/// Claims on idempotency keys, kept in the store as `claims/{tenant}/{key}`. An instance belongs to
+/// the thread of its store.
 class IdempotencyClaims
 {
 public:
     virtual ~IdempotencyClaims() = default;
+    /// Calls @p done once, never before this returns. A key whose record says NotRun may be claimed
+    /// again; one that still runs, or whose end was not recorded, is Taken with outcome Unknown.
     virtual void claim(const BookingRequest &request, std::function<void(ClaimResult)> done) = 0;
-    /// Records the end of a claimed booking. @p done runs when the store confirmed it or gave up.
-    virtual void record(const BookingRequest &request, const std::string &nonce,
+    /// Records the end (Done or NotRun) of a claimed booking, on condition that the claim is still
+    /// ours. @p done runs when the store confirmed it or after a bounded number of attempts. An
+    /// answer longer than MaxRecordedBytes is not recorded, so that a repeat gets Unknown.
+    virtual void record(const BookingRequest &request, const ClaimResult &claim,
                         const BookingResult &result, std::function<void()> done) = 0;
 };
 
+std::unique_ptr<IdempotencyClaims> makeIdempotencyClaims(ObjectStore &store, TimerService &timers);
+
+/// Largest answer kept with a claim, in bytes. The store holds values up to one megabyte, and the
+/// answer grows when it is encoded.
+inline constexpr std::size_t MaxRecordedBytes = 256 * 1024;
+/// Most replicas that one booking tries, each after a proven not-run.
+inline constexpr std::uint32_t MaxBookingAttempts = 3;
+/// The answer waits at most this long for its record to be confirmed.
+inline constexpr std::chrono::milliseconds MaxRecordWait{50};
+/// The answer is given this long before the caller's deadline. Sub-requests end earlier by as much
+/// again, so that a sub-request that was never sent is still reported as not run.
+inline constexpr std::chrono::milliseconds BookingAnswerMargin{5};
+
 struct BookingContext
 {
     TimerService &timers;
@@ -76,12 +95,17 @@
 };
 
 /// One booking: claim, one dispatch, record. A further attempt is made only after a proven not-run.
+/// The shard is the hash of the route key over the partition map; the replica is chosen by
+/// rendezvous hashing, so that a key stays with one replica while that lives. Back-end versions get
+/// their share of the keys, and one with share 0 none. An answer that comes after the caller was
+/// told `unknown` is still recorded.
 class BookingRun : public SubRequestListener, public std::enable_shared_from_this<BookingRun>
 {
 public:
     using Callback = std::function<void(BookingResult)>;
     static std::shared_ptr<BookingRun> create(BookingContext context, SnapshotPin snapshot,
                                               BookingRequest request, Callback done);
+    /// @p done of create() is called once, never before this returns.
     virtual void start() = 0;
 };
 
--- a/include/geraniumcart/metrics.h
+++ b/include/geraniumcart/metrics.h
@@ -33,7 +33,7 @@
     RateLimited,
     Overloaded,
     InvariantViolations,
-    Count_,
+    Count,
 };
 
 /// Latency and coverage of one tenant and class.
@@ -47,13 +47,20 @@
     double meanCoverage = 0;
 };
 
-/// Counters and histograms of the process. Counters are atomics; histograms are kept for each
-/// worker and merged when read.
+/// Pairs of tenant and class that have histograms of their own, at most. Requests of further pairs
+/// count under tenant and class `other`.
+inline constexpr std::size_t MaxStatsSeries = 256;
+
+/// Counters and histograms of the process; thread-safe. Counters are atomics. Each thread has its
+/// own set of histograms, and reading merges them, so that recording takes no lock and threads do
+/// not share cache lines.
 class Stats
 {
 public:
     Stats();
     ~Stats();
+    Stats(const Stats &) = delete;
+    Stats &operator=(const Stats &) = delete;
     void add(Counter counter, std::uint64_t amount = 1)
     {
         m_counters[static_cast<std::size_t>(counter)].fetch_add(amount, std::memory_order_relaxed);
@@ -65,13 +72,14 @@
     /// Notes one answered request. @p coverage is a share of documents, 0 to 1.
     void recordRequest(std::string_view tenant, std::string_view className, Duration latency,
                        double coverage);
+    /// In order of tenant and class. Quantiles are interpolated inside a bin, which is 12% wide.
     std::vector<SeriesSummary> summaries() const;
     /// Everything in Prometheus text format.
     std::string prometheusText() const;
 
 private:
     struct Series;
-    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count_)> m_counters{};
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> m_counters{};
     std::unique_ptr<Series> m_series;
 };
 
--- a/include/geraniumcart/search.h
+++ b/include/geraniumcart/search.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumcart/hedging.h>
+#include <geraniumcart/metrics.h>
 #include <geraniumcart/replica_choice.h>
 #include <geraniumcart/snapshot.h>
 #include <geraniumcart/sub_request.h>
@@ -81,9 +82,21 @@
     HedgingPolicy &hedging;
     AttemptBudget &hedgeBudget;
     AttemptBudget &retryBudget;
+    /// Receives SubRequests, Hedges, Retries, Cancels, WrongVersion and LateAnswers, if given.
+    Stats *stats = nullptr;
 };
 
-/// One search from its pinned snapshot to the merged outcome. Belongs to one worker.
+/// Most hedges of one sub-request. One answer in 100 straggles, so with 170 shards a single hedge
+/// straggles too in 1.7% of the queries, which is above the 1% that a p99 target leaves.
+inline constexpr std::uint32_t MaxHedgesPerShard = 2;
+/// Most attempts at one shard: first attempt, hedges and retries.
+inline constexpr std::uint32_t MaxAttemptsPerShard = 4;
+/// The outcome is given this long before the caller's deadline, so that it can still be merged,
+/// encoded and sent. A run that starts with less than four times as much uses a quarter of it.
+inline constexpr std::chrono::milliseconds SearchAnswerMargin{5};
+
+/// One search from its pinned snapshot to the merged outcome. Belongs to one worker. Answers that
+/// are late, repeated or not its own are ignored and counted.
 class SearchRun : public SubRequestListener, public std::enable_shared_from_this<SearchRun>
 {
 public:
@@ -98,7 +111,11 @@
     virtual void abandon() = 0;
 };
 
-/// Source of sub-request ids; thread-safe.
-SubRequestId nextSubRequestId();
+/// Source of sub-request ids; thread-safe. @return the first of @p count ids in a row.
+SubRequestId reserveSubRequestIds(std::uint32_t count);
+inline SubRequestId nextSubRequestId()
+{
+    return reserveSubRequestIds(1);
+}
 
 } // namespace geraniumcart
--- /dev/null
+++ b/src/process/hedging.cpp
@@ -0,0 +1,141 @@
+#include <geraniumcart/hedging.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cmath>
+
+namespace geraniumcart {
+
+namespace {
+
+constexpr std::int64_t MillitokensPerToken = 1000;
+
+/// Share of sub-requests that answer before they are hedged. The rest, and second hedges of those,
+/// are 3.1% more load, which stays inside the budget of 5%.
+constexpr double HedgedQuantile = 0.97;
+/// A shorter delay would only hedge the scatter of timers and connections.
+constexpr Duration MinDelay = std::chrono::milliseconds(1);
+/// Observations before the first delay is known.
+constexpr std::uint64_t FirstEstimateAfter = 128;
+constexpr std::uint64_t EstimateInterval = 64;
+/// Observations after which all counts are halved, so that old latencies lose weight.
+constexpr std::uint64_t DecayInterval = 8192;
+
+/// Eight buckets for each doubling, from 64 µs to 67 s; a bucket is 9% wide.
+constexpr std::uint32_t BucketsPerDoubling = 8;
+constexpr std::uint32_t Doublings = 20;
+constexpr std::uint32_t BucketCount = BucketsPerDoubling * Doublings;
+constexpr Duration LowestBucket = std::chrono::microseconds(64);
+
+std::uint32_t bucketOf(Duration latency)
+{
+    const double ratio = std::chrono::duration<double>(latency) / LowestBucket;
+    if (ratio <= 1)
+        return 0;
+    const double place = std::log2(ratio) * BucketsPerDoubling;
+    return std::min(static_cast<std::uint32_t>(place), BucketCount - 1);
+}
+
+Duration upperEdge(std::uint32_t bucket)
+{
+    const double doublings = static_cast<double>(bucket + 1) / BucketsPerDoubling;
+    return std::chrono::duration_cast<Duration>(LowestBucket * std::exp2(doublings));
+}
+
+/// Hedges what is slower than a quantile of recent latencies. All workers share the histogram.
+class QuantileHedging final : public HedgingPolicy
+{
+public:
+    void observe(Duration latency) override
+    {
+        m_buckets[bucketOf(latency)].fetch_add(1, std::memory_order_relaxed);
+        const std::uint64_t count = m_observations.fetch_add(1, std::memory_order_relaxed) + 1;
+        if (count % EstimateInterval != 0)
+            return;
+        // A worker that finds another one at this task leaves it to that one.
+        if (m_isUpdating.test_and_set(std::memory_order_acquire))
+            return;
+        if (count % DecayInterval == 0)
+            decay();
+        if (count >= FirstEstimateAfter)
+            estimate();
+        m_isUpdating.clear(std::memory_order_release);
+    }
+
+    std::optional<Duration> delay() const override
+    {
+        const Duration::rep delay = m_delay.load(std::memory_order_relaxed);
+        if (delay == 0)
+            return std::nullopt;
+        return Duration(delay);
+    }
+
+private:
+    void decay()
+    {
+        for (std::atomic<std::uint32_t> &bucket : m_buckets)
+            bucket.fetch_sub(bucket.load(std::memory_order_relaxed) / 2, std::memory_order_relaxed);
+    }
+
+    void estimate()
+    {
+        std::array<std::uint32_t, BucketCount> counts;
+        std::uint64_t total = 0;
+        for (std::uint32_t i = 0; i < BucketCount; ++i)
+            total += counts[i] = m_buckets[i].load(std::memory_order_relaxed);
+        const auto rank = static_cast<std::uint64_t>(HedgedQuantile * static_cast<double>(total));
+        std::uint64_t below = 0;
+        std::uint32_t bucket = 0;
+        while (bucket + 1 < BucketCount && (below += counts[bucket]) <= rank)
+            ++bucket;
+        m_delay.store(std::max(MinDelay, upperEdge(bucket)).count(), std::memory_order_relaxed);
+    }
+
+    std::array<std::atomic<std::uint32_t>, BucketCount> m_buckets{};
+    std::atomic<std::uint64_t> m_observations{0};
+    std::atomic<Duration::rep> m_delay{0};
+    std::atomic_flag m_isUpdating;
+};
+
+class NoHedging final : public HedgingPolicy
+{
+public:
+    void observe(Duration) override {}
+    std::optional<Duration> delay() const override { return std::nullopt; }
+};
+
+} // namespace
+
+AttemptBudget::AttemptBudget(double share, std::uint32_t reserve)
+    : m_earnedPerAttempt(std::llround(share * MillitokensPerToken))
+    , m_limit(static_cast<std::int64_t>(reserve) * MillitokensPerToken)
+    , m_millitokens(m_limit)
+{
+}
+
+void AttemptBudget::earn(std::uint32_t firstAttempts)
+{
+    const std::int64_t earned = m_earnedPerAttempt * firstAttempts;
+    const std::int64_t saved = m_millitokens.fetch_add(earned, std::memory_order_relaxed) + earned;
+    if (saved > m_limit)
+        m_millitokens.fetch_sub(std::min(earned, saved - m_limit), std::memory_order_relaxed);
+}
+
+bool AttemptBudget::tryTake()
+{
+    if (m_millitokens.fetch_sub(MillitokensPerToken, std::memory_order_relaxed) >=
+        MillitokensPerToken)
+        return true;
+    m_millitokens.fetch_add(MillitokensPerToken, std::memory_order_relaxed);
+    return false;
+}
+
+std::unique_ptr<HedgingPolicy> makeHedgingPolicy(HedgingKind kind)
+{
+    if (kind == HedgingKind::None)
+        return std::make_unique<NoHedging>();
+    return std::make_unique<QuantileHedging>();
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/idempotency_claims.cpp
@@ -0,0 +1,317 @@
+#include "process/idempotency_claims_codec_p.h"
+
+#include <geraniumcart/booking.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <random>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Store calls that one claim may make before it counts as unconfirmed.
+constexpr std::uint32_t MaxClaimCalls = 6;
+/// Store calls for recording an end, and for freeing a claim that could not be confirmed.
+constexpr std::uint32_t MaxRecordCalls = 8;
+/// Pause before a store call is repeated; doubles up to the maximum.
+constexpr Duration FirstRetryPause = std::chrono::milliseconds(10);
+constexpr Duration MaxRetryPause = std::chrono::seconds(2);
+
+std::string hexOf(std::uint64_t high, std::uint64_t low)
+{
+    std::array<char, 33> text{};
+    text.fill('0');
+    const auto write = [&text](std::size_t at, std::uint64_t value) {
+        std::array<char, 16> digits{};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16).ptr;
+        const auto length = static_cast<std::size_t>(end - digits.data());
+        std::copy_n(digits.data(), length, text.data() + at + 16 - length);
+    };
+    write(0, high);
+    write(16, low);
+    return std::string(text.data(), 32);
+}
+
+/// Hash over everything that decides what a booking does.
+std::string fingerprintOf(const BookingRequest &request)
+{
+    std::string all;
+    for (const std::string *part : {&request.service, &request.routeKey}) {
+        all += std::to_string(part->size());
+        all += ':';
+        all += *part;
+    }
+    if (request.body)
+        all += *request.body;
+    const XXH128_hash_t hash = XXH3_128bits(all.data(), all.size());
+    return hexOf(hash.high64, hash.low64);
+}
+
+/// What all operations of one instance share; lives until the last store call has returned.
+struct Shared
+{
+    ObjectStore &store;
+    TimerService &timers;
+};
+
+/// Repeats with growing pauses, a bounded number of times.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(std::uint32_t calls)
+        : m_callsLeft(calls)
+    {
+    }
+    bool tryTake() { return m_callsLeft > 0 && m_callsLeft-- > 0; }
+    Duration nextPause()
+    {
+        return std::exchange(m_pause, std::min<Duration>(m_pause * 2, MaxRetryPause));
+    }
+
+private:
+    std::uint32_t m_callsLeft;
+    Duration m_pause = FirstRetryPause;
+};
+
+/// Writes the end of a booking on condition that the claim is still ours.
+class RecordOperation : public std::enable_shared_from_this<RecordOperation>
+{
+public:
+    RecordOperation(Shared shared, std::string key, ClaimRecord record, std::uint64_t version,
+                    std::function<void()> done)
+        : m_shared(shared)
+        , m_key(std::move(key))
+        , m_record(std::move(record))
+        , m_version(version)
+        , m_done(std::move(done))
+    {
+    }
+
+    void write()
+    {
+        if (!m_budget.tryTake())
+            return m_done();
+        m_shared.store.put(m_key, m_version, formatClaim(m_record),
+                           [self = shared_from_this()](std::optional<std::uint64_t> version,
+                                                       StoreError error) {
+                               self->onWritten(version.has_value(), error);
+                           });
+    }
+
+    /// Starts from the stored object, for a claim whose version is not known.
+    void readBack()
+    {
+        if (!m_budget.tryTake())
+            return m_done();
+        m_shared.store.get(m_key, [self = shared_from_this()](std::optional<StoredObject> object,
+                                                              StoreError error) {
+            self->onRead(object, error);
+        });
+    }
+
+private:
+    void onWritten(bool isWritten, StoreError error)
+    {
+        if (isWritten)
+            return m_done();
+        if (error == StoreError::Conflict)
+            return readBack();
+        // A repeated write is conditional on the same version, so it cannot take effect twice.
+        later(&RecordOperation::write);
+    }
+
+    void onRead(const std::optional<StoredObject> &object, StoreError error)
+    {
+        if (!object && error != StoreError::NotFound)
+            return later(&RecordOperation::readBack);
+        const auto stored = object ? parseClaim(object->value) : std::nullopt;
+        if (!stored || stored->nonce != m_record.nonce || stored->phase != ClaimPhase::Running)
+            return m_done();
+        m_version = object->version;
+        write();
+    }
+
+    void later(void (RecordOperation::*step)())
+    {
+        m_shared.timers.schedule(m_budget.nextPause(),
+                                 [self = shared_from_this(), step] { ((*self).*step)(); });
+    }
+
+    Shared m_shared;
+    std::string m_key;
+    ClaimRecord m_record;
+    std::uint64_t m_version;
+    std::function<void()> m_done;
+    RetryBudget m_budget{MaxRecordCalls};
+};
+
+/// Obtains one claim, or finds out who has it.
+class ClaimOperation : public std::enable_shared_from_this<ClaimOperation>
+{
+public:
+    using Done = std::function<void(ClaimResult)>;
+
+    ClaimOperation(Shared shared, std::string key, ClaimRecord record, Done done)
+        : m_shared(shared)
+        , m_key(std::move(key))
+        , m_record(std::move(record))
+        , m_done(std::move(done))
+    {
+    }
+
+    /// Creates the object, or replaces one that says NotRun when @p expected is its version.
+    void write(std::uint64_t expected)
+    {
+        if (!m_budget.tryTake())
+            return unconfirmed("store did not answer");
+        m_shared.store.put(
+                m_key, expected, formatClaim(m_record),
+                [self = shared_from_this()](std::optional<std::uint64_t> version,
+                                            StoreError error) { self->onWritten(version, error); });
+    }
+
+private:
+    void onWritten(std::optional<std::uint64_t> version, StoreError error)
+    {
+        if (version)
+            return claimed(*version);
+        switch (error) {
+        case StoreError::Conflict:
+            return readBack();
+        case StoreError::Unknown:
+            m_mayBeStored = true;
+            return readBack();
+        default:
+            return unconfirmed(toString(error));
+        }
+    }
+
+    void readBack()
+    {
+        if (!m_budget.tryTake())
+            return unconfirmed("store did not answer");
+        m_shared.store.get(m_key, [self = shared_from_this()](std::optional<StoredObject> object,
+                                                              StoreError error) {
+            self->onRead(object, error);
+        });
+    }
+
+    void onRead(const std::optional<StoredObject> &object, StoreError error)
+    {
+        if (!object && error != StoreError::NotFound) {
+            m_shared.timers.schedule(m_budget.nextPause(),
+                                     [self = shared_from_this()] { self->readBack(); });
+            return;
+        }
+        // The lost write had no effect yet. Writing again under the same nonce is safe: should the
+        // first one arrive late, this one fails and the nonce is found on reading back.
+        if (!object)
+            return write(0);
+        const auto stored = parseClaim(object->value);
+        if (!stored)
+            return taken({BookingOutcome::Unknown, {}, "stored claim is not readable", true});
+        if (stored->nonce == m_record.nonce)
+            return claimed(object->version);
+        if (stored->fingerprint != m_record.fingerprint)
+            return finish({ClaimState::Mismatch, {}, {}, 0});
+        switch (stored->phase) {
+        case ClaimPhase::Done:
+            return taken({BookingOutcome::Done, stored->body, {}, true});
+        case ClaimPhase::NotRun:
+            return write(object->version);
+        case ClaimPhase::Running:
+            return taken({BookingOutcome::Unknown,
+                          {},
+                          "an earlier request with this key still runs or did not record its end",
+                          true});
+        }
+    }
+
+    void claimed(std::uint64_t version)
+    {
+        finish({ClaimState::Claimed, {}, m_record.nonce, version});
+    }
+
+    void taken(BookingResult recorded) { finish({ClaimState::Taken, std::move(recorded), {}, 0}); }
+
+    void unconfirmed(std::string reason)
+    {
+        // The claim may be in the store, where it would keep the key for ever. Nothing is
+        // dispatched under it, so it can be marked as not run.
+        if (m_mayBeStored) {
+            ClaimRecord record = m_record;
+            record.phase = ClaimPhase::NotRun;
+            std::make_shared<RecordOperation>(m_shared, m_key, std::move(record), 0, [] {
+            })->readBack();
+        }
+        finish({ClaimState::Unconfirmed,
+                {BookingOutcome::NotRun, {}, "claim not confirmed: " + std::move(reason), false},
+                {},
+                0});
+    }
+
+    void finish(ClaimResult result) { std::exchange(m_done, nullptr)(std::move(result)); }
+
+    Shared m_shared;
+    std::string m_key;
+    ClaimRecord m_record;
+    Done m_done;
+    RetryBudget m_budget{MaxClaimCalls};
+    bool m_mayBeStored = false;
+};
+
+class StoreClaims final : public IdempotencyClaims
+{
+public:
+    StoreClaims(ObjectStore &store, TimerService &timers)
+        : m_shared{store, timers}
+    {
+        std::random_device random;
+        m_instance = (static_cast<std::uint64_t>(random()) << 32) | random();
+    }
+
+    void claim(const BookingRequest &request, std::function<void(ClaimResult)> done) override
+    {
+        ClaimRecord record{
+                hexOf(m_instance, ++m_lastClaim), fingerprintOf(request), ClaimPhase::Running, {}};
+        std::make_shared<ClaimOperation>(m_shared, claimKey(request.tenant, request.idempotencyKey),
+                                         std::move(record), std::move(done))
+                ->write(0);
+    }
+
+    void record(const BookingRequest &request, const ClaimResult &claim,
+                const BookingResult &result, std::function<void()> done) override
+    {
+        if (result.outcome == BookingOutcome::Unknown || result.body.size() > MaxRecordedBytes) {
+            m_shared.timers.schedule(Duration::zero(), std::move(done));
+            return;
+        }
+        const ClaimPhase phase =
+                result.outcome == BookingOutcome::Done ? ClaimPhase::Done : ClaimPhase::NotRun;
+        ClaimRecord record{claim.nonce, fingerprintOf(request), phase, result.body};
+        std::make_shared<RecordOperation>(m_shared,
+                                          claimKey(request.tenant, request.idempotencyKey),
+                                          std::move(record), claim.version, std::move(done))
+                ->write();
+    }
+
+private:
+    Shared m_shared;
+    std::uint64_t m_instance = 0;
+    std::uint64_t m_lastClaim = 0;
+};
+
+} // namespace
+
+std::unique_ptr<IdempotencyClaims> makeIdempotencyClaims(ObjectStore &store, TimerService &timers)
+{
+    return std::make_unique<StoreClaims>(store, timers);
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/request/replica_choice.cpp
@@ -0,0 +1,323 @@
+#include <geraniumcart/replica_choice.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <string>
+#include <vector>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Candidates compared for one sub-request. Two give most of the gain of random choice; with three
+/// all replicas of a shard are usually seen.
+constexpr std::size_t SampledReplicas = 3;
+/// One choice in this many goes to a cold replica that has nothing in flight, so that it warms up.
+constexpr std::uint64_t ColdTrialInterval = 20;
+/// One choice in this many goes to a failing replica that has nothing in flight, so that its return
+/// is noticed.
+constexpr std::uint64_t FailingTrialInterval = 64;
+/// One choice in this many ignores latency. A replica that is never chosen never shows that it has
+/// become fast again.
+constexpr std::uint64_t ExplorationInterval = 32;
+/// Failures in a row that make a replica count as failing. One refusal may be chance.
+constexpr std::uint32_t FailuresUntilAvoided = 2;
+/// Replicas with more work in flight than this quantile of what was seen count as busy.
+constexpr double BusyQuantile = 0.8;
+constexpr double BusyQuantileStep = 0.05;
+/// Sub-requests over which a version's share is restored after a fallback.
+constexpr double ShareHorizon = 64;
+/// Most sub-requests that a version may be ahead of or behind its share before the rest is
+/// forgotten, so that a long one-sided phase does not starve a version afterwards.
+constexpr double MaxShareDebt = 256;
+
+class RandomSource
+{
+public:
+    explicit RandomSource(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+    /// Uniform in [0, bound).
+    std::uint64_t below(std::uint64_t bound)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_engine);
+    }
+    double unit() { return std::uniform_real_distribution<double>()(m_engine); }
+    bool oneIn(std::uint64_t interval) { return below(interval) == 0; }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/// Uniform sample of at most SampledReplicas out of a sequence of unknown length.
+struct Sample
+{
+    std::array<std::uint32_t, SampledReplicas> members;
+    std::size_t seen = 0;
+
+    void add(std::uint32_t replica, RandomSource &random)
+    {
+        const std::size_t place = seen < SampledReplicas ? seen : random.below(seen + 1);
+        if (place < SampledReplicas)
+            members[place] = replica;
+        ++seen;
+    }
+    std::span<const std::uint32_t> all() const
+    {
+        return {members.data(), std::min(seen, SampledReplicas)};
+    }
+};
+
+/// How far each back-end version of one service is behind its share of the sub-requests.
+struct VersionLedger
+{
+    struct Entry
+    {
+        std::string version;
+        double share = 0;
+        double credit = 0;
+    };
+    std::string service;
+    std::vector<Entry> entries;
+
+    bool matches(const std::vector<VersionShare> &shares) const
+    {
+        return std::ranges::equal(entries, shares, [](const Entry &entry, const VersionShare &s) {
+            return entry.version == s.version && entry.share == s.share;
+        });
+    }
+    void reset(const std::vector<VersionShare> &shares)
+    {
+        entries.clear();
+        for (const VersionShare &share : shares)
+            entries.push_back({share.version, share.share, 0});
+    }
+    void charge(const Entry &chosen)
+    {
+        double total = 0;
+        for (const Entry &entry : entries)
+            total += entry.share;
+        for (Entry &entry : entries)
+            entry.credit = std::clamp(entry.credit + entry.share / total - (&entry == &chosen),
+                                      -MaxShareDebt, MaxShareDebt);
+    }
+};
+
+bool isUsable(const Searcher &searcher, std::uint32_t replica,
+              std::span<const std::uint32_t> excluded)
+{
+    return !searcher.state->isDraining() && std::ranges::find(excluded, replica) == excluded.end();
+}
+
+/// Picks the back-end version, then lets the subclass pick among the replicas of that version.
+class SharedChoice : public ReplicaChoice
+{
+public:
+    explicit SharedChoice(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    std::optional<std::uint32_t> choose(const ServiceRouting &service,
+                                        std::span<const std::uint32_t> candidates,
+                                        std::span<const std::uint32_t> excluded) final
+    {
+        if (service.versionShares.empty())
+            return chooseAmong(service, candidates, excluded, nullptr);
+
+        VersionLedger &ledger = ledgerOf(service);
+        const VersionLedger::Entry *picked = pickVersion(ledger, service, candidates, excluded);
+        if (!picked)
+            return std::nullopt;
+        const auto chosen = chooseAmong(service, candidates, excluded, &picked->version);
+        if (chosen)
+            ledger.charge(*picked);
+        return chosen;
+    }
+
+protected:
+    /// @param version only replicas of this back-end version count; all where null
+    virtual std::optional<std::uint32_t> chooseAmong(const ServiceRouting &service,
+                                                     std::span<const std::uint32_t> candidates,
+                                                     std::span<const std::uint32_t> excluded,
+                                                     const std::string *version) = 0;
+
+    static bool isEligible(const ServiceRouting &service, std::uint32_t replica,
+                           std::span<const std::uint32_t> excluded, const std::string *version)
+    {
+        const Searcher &searcher = service.searchers[replica];
+        return (!version || searcher.entry.backEndVersion == *version) &&
+               isUsable(searcher, replica, excluded);
+    }
+
+    RandomSource m_random;
+
+private:
+    VersionLedger &ledgerOf(const ServiceRouting &service)
+    {
+        auto found = std::ranges::find(m_ledgers, service.name, &VersionLedger::service);
+        if (found == m_ledgers.end())
+            found = m_ledgers.insert(found, {service.name, {}});
+        if (!found->matches(service.versionShares))
+            found->reset(service.versionShares);
+        return *found;
+    }
+
+    /// Random by share, corrected by what each version got before; only versions that can serve.
+    const VersionLedger::Entry *pickVersion(const VersionLedger &ledger,
+                                            const ServiceRouting &service,
+                                            std::span<const std::uint32_t> candidates,
+                                            std::span<const std::uint32_t> excluded)
+    {
+        const VersionLedger::Entry *best = nullptr;
+        const VersionLedger::Entry *drawn = nullptr;
+        double weights = 0;
+        for (const VersionLedger::Entry &entry : ledger.entries) {
+            const bool canServe =
+                    entry.share > 0 && std::ranges::any_of(candidates, [&](std::uint32_t replica) {
+                        return isEligible(service, replica, excluded, &entry.version);
+                    });
+            if (!canServe)
+                continue;
+            if (!best || entry.credit > best->credit)
+                best = &entry;
+            const double weight = std::max(0.0, entry.share * ShareHorizon + entry.credit);
+            weights += weight;
+            if (weight > 0 && m_random.unit() * weights < weight)
+                drawn = &entry;
+        }
+        return drawn ? drawn : best;
+    }
+
+    std::vector<VersionLedger> m_ledgers;
+};
+
+class RandomChoice final : public SharedChoice
+{
+public:
+    using SharedChoice::SharedChoice;
+
+protected:
+    std::optional<std::uint32_t> chooseAmong(const ServiceRouting &service,
+                                             std::span<const std::uint32_t> candidates,
+                                             std::span<const std::uint32_t> excluded,
+                                             const std::string *version) override
+    {
+        std::optional<std::uint32_t> chosen;
+        std::uint64_t seen = 0;
+        for (const std::uint32_t replica : candidates)
+            if (isEligible(service, replica, excluded, version) && m_random.oneIn(++seen))
+                chosen = replica;
+        return chosen;
+    }
+};
+
+/// The rule published for Prequal: among sampled replicas that are not busy the one of lowest
+/// latency, and the least busy where all are.
+class LeastLoadedChoice final : public SharedChoice
+{
+public:
+    using SharedChoice::SharedChoice;
+
+protected:
+    std::optional<std::uint32_t> chooseAmong(const ServiceRouting &service,
+                                             std::span<const std::uint32_t> candidates,
+                                             std::span<const std::uint32_t> excluded,
+                                             const std::string *version) override
+    {
+        Sample warm;
+        Sample cold;
+        Sample failing;
+        std::optional<std::uint32_t> idleCold;
+        std::optional<std::uint32_t> idleFailing;
+        for (const std::uint32_t replica : candidates) {
+            if (!isEligible(service, replica, excluded, version))
+                continue;
+            const UpstreamState &state = *service.searchers[replica].state;
+            const bool isIdle = state.inFlight() == 0;
+            if (state.failures() >= FailuresUntilAvoided) {
+                failing.add(replica, m_random);
+                if (isIdle)
+                    idleFailing = replica;
+            } else if (state.isCold()) {
+                cold.add(replica, m_random);
+                if (isIdle)
+                    idleCold = replica;
+            } else {
+                warm.add(replica, m_random);
+            }
+        }
+        if (idleCold && warm.seen > 0 && m_random.oneIn(ColdTrialInterval))
+            return idleCold;
+        if (idleFailing && warm.seen + cold.seen > 0 && m_random.oneIn(FailingTrialInterval))
+            return idleFailing;
+        for (const Sample *sample : {&warm, &cold, &failing})
+            if (sample->seen > 0)
+                return leastLoaded(service, sample->all());
+        return std::nullopt;
+    }
+
+private:
+    struct Load
+    {
+        std::uint32_t busy = 0;
+        std::uint32_t latencyClass = 0;
+        std::uint32_t inFlight = 0;
+        std::uint64_t tieBreak = 0;
+        auto operator<=>(const Load &) const = default;
+    };
+
+    std::uint32_t leastLoaded(const ServiceRouting &service, std::span<const std::uint32_t> sample)
+    {
+        if (sample.size() == 1)
+            return sample.front();
+        const bool ignoresLatency = m_random.oneIn(ExplorationInterval);
+        std::uint32_t best = sample.front();
+        std::optional<Load> bestLoad;
+        for (const std::uint32_t replica : sample) {
+            const UpstreamState &state = *service.searchers[replica].state;
+            const std::uint32_t inFlight = state.inFlight();
+            const bool isBusy = inFlight > m_busyThreshold;
+            learn(inFlight);
+            const Load load{isBusy ? inFlight : 0,
+                            ignoresLatency ? 0 : latencyClass(state.latency()), inFlight,
+                            m_random.below(1024)};
+            if (!bestLoad || load < *bestLoad) {
+                best = replica;
+                bestLoad = load;
+            }
+        }
+        return best;
+    }
+
+    /// Logarithm to base 2. Latencies within a factor of two count as equal, since the smoothed
+    /// value moves that much with one straggling answer.
+    static std::uint32_t latencyClass(Duration latency)
+    {
+        const auto count = std::chrono::duration_cast<std::chrono::microseconds>(latency).count();
+        return static_cast<std::uint32_t>(std::bit_width(static_cast<std::uint64_t>(count)));
+    }
+
+    /// Moves the threshold towards BusyQuantile of the work in flight that was seen.
+    void learn(std::uint32_t inFlight)
+    {
+        m_busyThreshold +=
+                BusyQuantileStep * (inFlight > m_busyThreshold ? BusyQuantile : BusyQuantile - 1.0);
+        m_busyThreshold = std::max(m_busyThreshold, 0.0);
+    }
+
+    double m_busyThreshold = 0;
+};
+
+} // namespace
+
+std::unique_ptr<ReplicaChoice> makeReplicaChoice(ReplicaChoiceKind kind, std::uint64_t seed)
+{
+    if (kind == ReplicaChoiceKind::Random)
+        return std::make_unique<RandomChoice>(seed);
+    return std::make_unique<LeastLoadedChoice>(seed);
+}
+
+} // namespace geraniumcart
