--- /dev/null
+++ b/tools/control_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "http_call.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace geraniumcart {
+
+/// Small HTTP server with a thread of its own, for control of a stand-in. The handler runs on that
+/// thread and may block.
+class ControlServer
+{
+public:
+    using Handler = std::function<HttpResponse(const HttpRequest &)>;
+
+    explicit ControlServer(Handler handler);
+    ~ControlServer();
+    ControlServer(const ControlServer &) = delete;
+    ControlServer &operator=(const ControlServer &) = delete;
+
+    /// @param address IP:PORT; port 0 lets the kernel pick. @return false with @p reason on failure
+    bool start(const std::string &address, std::string &reason);
+    void stop();
+    std::string address() const;
+
+private:
+    class Session;
+    void accept();
+
+    Handler m_handler;
+    boost::asio::io_context m_context{1};
+    boost::asio::ip::tcp::acceptor m_acceptor{m_context};
+    std::thread m_thread;
+};
+
+HttpResponse makeJsonResponse(boost::beast::http::status status, std::string body);
+
+} // namespace geraniumcart
--- /dev/null
+++ b/tools/http_call.cpp
@@ -0,0 +1,82 @@
+#include "http_call.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <charconv>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t MaxAnswerBody = 64 * 1024 * 1024;
+
+} // namespace
+
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    boost::system::error_code code;
+    const auto ip = asio::ip::make_address(std::string(text.substr(0, colon)), code);
+    std::uint16_t port = 0;
+    const auto result = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (code || result.ec != std::errc() || result.ptr != text.data() + text.size())
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+HttpRequest makeRequest(http::verb method, const std::string &target, std::string body)
+{
+    HttpRequest request(method, target, 11);
+    request.set(http::field::host, "geraniumcart");
+    if (!body.empty())
+        request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
+}
+
+std::optional<HttpResponse> httpCall(const std::string &address, HttpRequest request,
+                                     Duration timeout, std::string &reason)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        reason = "not an IP:PORT address: " + address;
+        return std::nullopt;
+    }
+    asio::io_context context(1);
+    beast::tcp_stream stream(context);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxAnswerBody);
+    boost::system::error_code failure = asio::error::operation_aborted;
+    stream.expires_after(timeout);
+    stream.async_connect(*endpoint, [&](const boost::system::error_code &connectError) {
+        failure = connectError;
+        if (connectError)
+            return;
+        http::async_write(stream, request, [&](boost::system::error_code writeError, std::size_t) {
+            failure = writeError;
+            if (writeError)
+                return;
+            http::async_read(
+                    stream, buffer, parser,
+                    [&](boost::system::error_code error, std::size_t) { failure = error; });
+        });
+    });
+    context.run();
+    if (failure) {
+        reason = address + ": " + failure.message();
+        return std::nullopt;
+    }
+    return parser.release();
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/tools/http_call.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <geraniumcart/timer_service.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace geraniumcart {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Parses "IP:PORT". @return nothing when @p text is no such address
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+HttpRequest makeRequest(boost::beast::http::verb method, const std::string &target,
+                        std::string body = {});
+
+/// Sends one request on a connection of its own and waits for the answer.
+/// @return nothing with @p reason when there is no whole answer within @p timeout
+std::optional<HttpResponse> httpCall(const std::string &address, HttpRequest request,
+                                     Duration timeout, std::string &reason);
+
+} // namespace geraniumcart
