Send sub-requests over kept-open searcher connections

A daemon needs a path to searchers that keeps their slot, connection and cold-start limits and that says exactly whether a request may have run. UpstreamGate paces cold searchers evenly over a window stretched by a margin; SearcherConnection makes one exchange at a time with Beast's parser; SearcherPool keeps connections open, probes each new one for its Boot-Id and queues by deadline; DirectSender crosses workers in batches.

--- a/include/geraniumcart/upstream_gate.h
+++ b/include/geraniumcart/upstream_gate.h
@@ -8,6 +8,14 @@
 
 namespace geraniumcart {
 
+/// Longest time for which a dispatch may be under way to the searcher without being noticed. A
+/// window of the cold bound is stretched by it, so that a late arrival and a prompt one after it
+/// do not fall into one window at the searcher. Network and scheduling delays on one host group
+/// stay below it; a longer delay shows as a late end of the request and is added to the pace.
+inline constexpr Duration ColdArrivalMargin = std::chrono::milliseconds(20);
+/// Window over which a cold bound in requests a second is counted.
+inline constexpr Duration ColdWindow = std::chrono::seconds(1);
+
 /// Decides how much of one searcher's slots, connections and cold allowance this daemon may use.
 /// Belongs to the searcher's home worker; holds no socket.
 class UpstreamGate
@@ -41,18 +49,24 @@
     /// Asks for one dispatch now. Dispatch takes a slot, and a cold token while cold.
     Verdict tryDispatch(TimePoint now);
     /// Gives the slot back.
-    void finish() { --m_running; }
+    void finish(TimePoint now);
 
     /// Notes an answer's boot identity; a change makes the searcher cold.
-    void observeBoot(std::uint64_t bootId, TimePoint now);
+    /// @return true if it changed
+    bool observeBoot(std::uint64_t bootId, TimePoint now);
     /// Makes the searcher cold: it restarted, refused a connection, or slowed while shedding.
     void becomeCold(TimePoint now);
     /// Notes a successful answer; starts the warm-up clock at the first one.
-    void observeAnswer(TimePoint now);
+    /// @param latency from dispatch to the last byte
+    /// @return true if the searcher slowed down while shedding load, which makes it cold
+    bool observeAnswer(TimePoint now, Duration latency);
+    /// Notes that the searcher shed a request.
+    /// @return as observeAnswer()
+    bool observeShed(TimePoint now);
 
     bool isCold(TimePoint now) const;
     /// Earliest time at which a cold searcher may get its next request.
-    TimePoint nextAllowed() const { return m_nextColdDispatch; }
+    TimePoint nextAllowed(TimePoint now) const;
     /// Most sub-requests in flight that this daemon may hold at the searcher.
     std::uint32_t slotShare() const;
     /// Most connections that this daemon may hold open to the searcher.
@@ -60,15 +74,28 @@
     std::uint32_t running() const { return m_running; }
 
 private:
-    double coldRate(TimePoint now) const;
+    struct Pace
+    {
+        /// Dispatches allowed in each window.
+        double dispatches = 1;
+        Duration window{};
+    };
+
+    Pace coldPace(TimePoint now) const;
+    bool becomeColdIfShedding(TimePoint now);
 
     SearcherLimits m_limits;
     Share m_share;
     std::uint32_t m_running = 0;
     std::optional<std::uint64_t> m_bootId;
-    bool m_cold = true;
+    /// First answer since the searcher became cold.
     std::optional<TimePoint> m_firstAnswer;
-    TimePoint m_nextColdDispatch{};
+    /// Last dispatch while cold, or the time at which the searcher became cold.
+    std::optional<TimePoint> m_lastDispatch;
+    std::optional<TimePoint> m_lastFinish;
+    std::optional<TimePoint> m_lastShed;
+    Duration m_usualLatency{};
+    std::uint32_t m_slowAnswers = 0;
 };
 
 } // namespace geraniumcart
--- /dev/null
+++ b/src/connection/searcher_connection.cpp
@@ -0,0 +1,479 @@
+#include "connection/searcher_connection_p.h"
+
+#include <geraniumcart/config.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <xxhash.h>
+
+#include <charconv>
+#include <cstring>
+#include <vector>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using boost::system::error_code;
+
+namespace {
+
+/// First size of a connection's receive buffer; grows to the largest read needed.
+constexpr std::size_t ReadBufferBytes = 8 * 1024;
+/// Largest receive buffer. The head of an answer must fit into it.
+constexpr std::size_t MaxReadBufferBytes = 64 * 1024;
+/// Largest head of an answer.
+constexpr std::uint32_t MaxHeadBytes = 8 * 1024;
+/// Body memory that is reserved on a searcher's word before its bytes have arrived.
+constexpr std::size_t MaxBodyReserve = 256 * 1024;
+/// Deepest nesting of an answer's JSON value.
+constexpr std::size_t MaxJsonDepth = 256;
+
+template <typename Number>
+bool parseNumber(std::string_view text, Number &value)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+template <typename Number>
+void appendNumber(std::string &out, Number value)
+{
+    std::array<char, 24> digits;
+    const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), value);
+    out.append(digits.data(), result.ptr);
+}
+
+bool parseServed(std::string_view text, ServedVersions &versions)
+{
+    const std::size_t dash = text.find('-');
+    return dash != std::string_view::npos && parseNumber(text.substr(0, dash), versions.oldest) &&
+           parseNumber(text.substr(dash + 1), versions.newest) &&
+           versions.oldest <= versions.newest;
+}
+
+/// Beast's parser with only the fields that matter, so that none is stored as text.
+class AnswerParser final : public http::basic_parser<false>
+{
+public:
+    explicit AnswerParser(SearcherAnswer &answer)
+        : m_answer(answer)
+    {
+        header_limit(MaxHeadBytes);
+        body_limit(MaxAnswerBytes);
+        eager(true);
+    }
+
+private:
+    void on_request_impl(http::verb, beast::string_view, beast::string_view, int,
+                         error_code &) override
+    {
+    }
+    void on_response_impl(int code, beast::string_view, int, error_code &) override
+    {
+        m_answer.status = static_cast<std::uint16_t>(code);
+    }
+    void on_field_impl(http::field field, beast::string_view name, beast::string_view value,
+                       error_code &error) override
+    {
+        if (field == http::field::unknown &&
+            !readField({name.data(), name.size()}, {value.data(), value.size()}))
+            error = http::error::bad_value;
+    }
+    void on_header_impl(error_code &) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
+    {
+        if (length)
+            m_answer.body.reserve(std::min<std::uint64_t>(*length, MaxBodyReserve));
+    }
+    std::size_t on_body_impl(beast::string_view body, error_code &) override
+    {
+        m_answer.body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code &) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, error_code &) override
+    {
+        m_answer.body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_finish_impl(error_code &) override {}
+
+    bool readField(std::string_view name, std::string_view value)
+    {
+        // Field names differ in length, so that one comparison is enough.
+        switch (name.size()) {
+        case 5:
+            if (beast::iequals(name, "Shard"))
+                return parseNumber(value, m_answer.shard.emplace());
+            break;
+        case 7:
+            if (beast::iequals(name, "Boot-Id"))
+                m_answer.bootId = XXH3_64bits(value.data(), value.size());
+            else if (beast::iequals(name, "Not-Run"))
+                m_answer.isNotRun = value == "1";
+            break;
+        case 8:
+            if (beast::iequals(name, "Draining"))
+                m_answer.isDraining = value == "1";
+            break;
+        case 9:
+            if (beast::iequals(name, "Documents"))
+                return parseNumber(value, m_answer.documents);
+            break;
+        case 10:
+            if (beast::iequals(name, "Request-Id"))
+                return parseNumber(value, m_answer.requestId.emplace());
+            break;
+        case 13:
+            if (beast::iequals(name, "Index-Version"))
+                return parseNumber(value, m_answer.indexVersion);
+            break;
+        case 14:
+            if (beast::iequals(name, "Index-Versions"))
+                return parseServed(value, m_answer.served.emplace());
+            break;
+        default:
+            break;
+        }
+        return true;
+    }
+
+    SearcherAnswer &m_answer;
+};
+
+/// Accepts every event of the JSON parser and keeps none. Boost.JSON prescribes the names.
+// NOLINTBEGIN(readability-identifier-naming)
+struct JsonEvents
+{
+    static constexpr std::size_t max_object_size = std::size_t(-1);
+    static constexpr std::size_t max_array_size = std::size_t(-1);
+    static constexpr std::size_t max_key_size = std::size_t(-1);
+    static constexpr std::size_t max_string_size = std::size_t(-1);
+
+    bool on_document_begin(error_code &) { return true; }
+    bool on_document_end(error_code &) { return true; }
+    bool on_array_begin(error_code &) { return true; }
+    bool on_array_end(std::size_t, error_code &) { return true; }
+    bool on_object_begin(error_code &) { return true; }
+    bool on_object_end(std::size_t, error_code &) { return true; }
+    bool on_string_part(json::string_view, std::size_t, error_code &) { return true; }
+    bool on_string(json::string_view, std::size_t, error_code &) { return true; }
+    bool on_key_part(json::string_view, std::size_t, error_code &) { return true; }
+    bool on_key(json::string_view, std::size_t, error_code &) { return true; }
+    bool on_number_part(json::string_view, error_code &) { return true; }
+    bool on_int64(std::int64_t, json::string_view, error_code &) { return true; }
+    bool on_uint64(std::uint64_t, json::string_view, error_code &) { return true; }
+    bool on_double(double, json::string_view, error_code &) { return true; }
+    bool on_bool(bool, error_code &) { return true; }
+    bool on_null(error_code &) { return true; }
+    bool on_comment_part(json::string_view, error_code &) { return true; }
+    bool on_comment(json::string_view, error_code &) { return true; }
+};
+// NOLINTEND(readability-identifier-naming)
+
+json::parse_options jsonOptions()
+{
+    json::parse_options options;
+    options.max_depth = MaxJsonDepth;
+    return options;
+}
+
+} // namespace
+
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address)
+{
+    const std::size_t colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string_view::npos || !parseNumber(address.substr(colon + 1), port))
+        return std::nullopt;
+    std::string_view host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    error_code error;
+    const auto ip = asio::ip::make_address(std::string(host), error);
+    if (error)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+/// Request and answer in wire form. All buffers are reused from one exchange to the next.
+class SearcherConnection::Codec
+{
+public:
+    enum class State : std::uint8_t { NeedMore, Done, Malformed };
+
+    explicit Codec(const std::string &address)
+        : m_host(" HTTP/1.1\r\nHost: " + address + "\r\n")
+        , m_buffer(ReadBufferBytes)
+        , m_json(jsonOptions())
+    {
+    }
+
+    void encode(const SearcherMessage &message)
+    {
+        m_call = message.call;
+        m_id = message.id;
+        m_shard = message.shard;
+        m_head.clear();
+        switch (message.call) {
+        case SearcherCall::Search:
+            m_head += "POST /search";
+            break;
+        case SearcherCall::Book:
+            m_head += "POST /book";
+            break;
+        case SearcherCall::Cancel:
+            m_head += "DELETE /requests/";
+            appendNumber(m_head, message.id);
+            break;
+        case SearcherCall::Info:
+            m_head += "GET /info";
+            break;
+        }
+        m_head += m_host;
+        if (isSubRequest()) {
+            m_head += "Content-Type: application/json\r\nRequest-Id: ";
+            appendNumber(m_head, message.id);
+            m_head += "\r\nShard: ";
+            appendNumber(m_head, message.shard);
+            m_head += "\r\nIndex-Version: ";
+            appendNumber(m_head, message.indexVersion);
+            m_head += "\r\nDeadline-Ms: ";
+            appendNumber(m_head,
+                         std::chrono::floor<std::chrono::milliseconds>(message.remaining).count());
+            m_head += "\r\nContent-Length: ";
+            appendNumber(m_head, message.body ? message.body->size() : 0);
+            m_head += "\r\n";
+        }
+        m_head += "\r\n";
+    }
+    const std::string &head() const { return m_head; }
+
+    void expectAnswer()
+    {
+        m_answer = SearcherAnswer();
+        m_parser.emplace(m_answer);
+    }
+    bool isExpectingAnswer() const { return m_parser.has_value(); }
+
+    asio::mutable_buffer space()
+    {
+        if (m_filled == m_buffer.size() && m_buffer.size() < MaxReadBufferBytes)
+            m_buffer.resize(m_buffer.size() * 2);
+        return {m_buffer.data() + m_filled, m_buffer.size() - m_filled};
+    }
+
+    /// Takes @p size more bytes out of space(). Bytes outside an exchange are malformed.
+    State take(std::size_t size)
+    {
+        m_filled += size;
+        if (!m_parser)
+            return m_filled == 0 ? State::NeedMore : State::Malformed;
+        std::size_t used = 0;
+        error_code error;
+        while (used < m_filled && !m_parser->is_done()) {
+            used += m_parser->put(asio::buffer(m_buffer.data() + used, m_filled - used), error);
+            if (error)
+                break;
+        }
+        m_filled -= used;
+        std::memmove(m_buffer.data(), m_buffer.data() + used, m_filled);
+        if (error && error != http::error::need_more)
+            return State::Malformed;
+        if (m_filled == MaxReadBufferBytes)
+            return State::Malformed;
+        return finishIfDone();
+    }
+
+    /// The searcher closed the connection, which ends a body without a length.
+    State takeEnd()
+    {
+        if (!m_parser || !m_parser->got_some())
+            return State::NeedMore;
+        error_code error;
+        m_parser->put_eof(error);
+        m_isLast = true;
+        return error ? State::NeedMore : finishIfDone();
+    }
+
+    SearcherAnswer &answer() { return m_answer; }
+    /// No further exchange may follow: the searcher said so, or sent more than one answer.
+    bool isLast() const { return m_isLast || m_filled > 0; }
+
+private:
+    bool isSubRequest() const
+    {
+        return m_call == SearcherCall::Search || m_call == SearcherCall::Book;
+    }
+
+    State finishIfDone()
+    {
+        if (!m_parser->is_done())
+            return State::NeedMore;
+        m_isLast = m_isLast || !m_parser->keep_alive();
+        m_parser.reset();
+        return isValid() ? State::Done : State::Malformed;
+    }
+
+    bool isValid()
+    {
+        // An interim answer is not asked for, so it is no answer to this request.
+        if (m_answer.status < 200)
+            return false;
+        if (!isSubRequest())
+            return true;
+        if (m_answer.requestId != m_id || m_answer.shard.value_or(m_shard) != m_shard)
+            return false;
+        return m_call != SearcherCall::Search || m_answer.status != 200 || isJson(m_answer.body);
+    }
+
+    bool isJson(const std::string &text)
+    {
+        error_code error;
+        m_json.reset();
+        const std::size_t used = m_json.write_some(false, text.data(), text.size(), error);
+        return !error && used == text.size() && m_json.done();
+    }
+
+    const std::string m_host;
+    std::string m_head;
+    SearcherCall m_call = SearcherCall::Info;
+    SubRequestId m_id = 0;
+    std::uint32_t m_shard = 0;
+    std::vector<char> m_buffer;
+    std::size_t m_filled = 0;
+    SearcherAnswer m_answer;
+    std::optional<AnswerParser> m_parser;
+    json::basic_parser<JsonEvents> m_json;
+    bool m_isLast = false;
+};
+
+SearcherConnection::SearcherConnection(asio::io_context &context, const std::string &address,
+                                       SearcherConnectionListener &listener)
+    : m_socket(context.get_executor())
+    , m_listener(&listener)
+    , m_codec(std::make_unique<Codec>(address))
+{
+}
+
+SearcherConnection::~SearcherConnection() = default;
+
+void SearcherConnection::open(const asio::ip::tcp::endpoint &endpoint)
+{
+    m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+        if (!self->m_listener)
+            return;
+        error_code ignored;
+        self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        error_code failed = error;
+        if (!failed)
+            self->m_socket.non_blocking(true, failed);
+        if (failed) {
+            SearcherConnectionListener *listener = self->m_listener;
+            self->close();
+            listener->onOpenFailed(*self, failed == asio::error::connection_refused);
+            return;
+        }
+        self->read();
+        self->m_listener->onOpen(*self);
+    });
+}
+
+bool SearcherConnection::start(const SearcherMessage &message)
+{
+    m_codec->encode(message);
+    m_body = message.body;
+    const std::array<asio::const_buffer, 2> parts{
+            asio::buffer(m_codec->head()),
+            m_body ? asio::buffer(*m_body) : asio::const_buffer(),
+    };
+    // One call that does not block tells exactly whether any byte was accepted.
+    error_code error;
+    const std::size_t written = m_socket.write_some(parts, error);
+    if (error || written == 0) {
+        close();
+        return false;
+    }
+    m_codec->expectAnswer();
+    if (written < asio::buffer_size(parts))
+        write(written);
+    return true;
+}
+
+void SearcherConnection::write(std::size_t offset)
+{
+    const std::string &head = m_codec->head();
+    const std::size_t fromHead = std::min(offset, head.size());
+    const std::array<asio::const_buffer, 2> rest{
+            asio::buffer(head) + fromHead,
+            m_body ? asio::buffer(*m_body) + (offset - fromHead) : asio::const_buffer(),
+    };
+    m_isWriting = true;
+    asio::async_write(
+            m_socket, rest,
+            [self = shared_from_this(), body = m_body](const error_code &error, std::size_t) {
+                self->m_isWriting = false;
+                if (error && self->m_listener)
+                    self->lose(ConnectionLoss::Reset);
+            });
+}
+
+void SearcherConnection::close()
+{
+    m_listener = nullptr;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void SearcherConnection::read()
+{
+    m_socket.async_read_some(m_codec->space(), [self = shared_from_this()](const error_code &error,
+                                                                           std::size_t size) {
+        if (self->m_listener)
+            self->onRead(error, size);
+    });
+}
+
+void SearcherConnection::onRead(const error_code &error, std::size_t size)
+{
+    Codec::State state = Codec::State::NeedMore;
+    if (!error)
+        state = m_codec->take(size);
+    else if (error == asio::error::eof)
+        state = m_codec->takeEnd();
+
+    if (state == Codec::State::Malformed) {
+        lose(ConnectionLoss::Malformed);
+        return;
+    }
+    if (state == Codec::State::Done) {
+        SearcherConnectionListener *listener = m_listener;
+        // An answer that came before the whole request was written leaves the rest of it unread.
+        const bool isLast = m_codec->isLast() || m_isWriting;
+        if (isLast)
+            close();
+        listener->onAnswer(*this, m_codec->answer(), isLast);
+        if (!m_listener)
+            return;
+    } else if (error) {
+        lose(error == asio::error::eof ? ConnectionLoss::Closed : ConnectionLoss::Reset);
+        return;
+    }
+    read();
+}
+
+void SearcherConnection::lose(ConnectionLoss loss)
+{
+    SearcherConnectionListener *listener = m_listener;
+    close();
+    listener->onLost(*this, loss);
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/connection/searcher_pool.cpp
@@ -0,0 +1,550 @@
+#include "connection/searcher_pool_p.h"
+
+#include <geraniumcart/config.h>
+#include <geraniumcart/invariants.h>
+
+#include <algorithm>
+
+namespace geraniumcart {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Connections kept open beyond the slots, for cancellations and in place of one that is lost.
+constexpr std::uint32_t SpareConnections = 1;
+/// Most sub-requests that wait for one searcher; beyond it a replica is the better choice.
+constexpr std::size_t MaxWaiting = 256;
+/// Shortest time to the deadline with which a request is sent. The header Deadline-Ms holds whole
+/// milliseconds, and no answer comes back sooner.
+constexpr Duration MinRemaining = 1ms;
+constexpr Duration ConnectTimeout = 1s;
+constexpr Duration ConnectBackoffMin = 50ms;
+constexpr Duration ConnectBackoffMax = 2s;
+constexpr std::uint32_t MaxBackoffDoublings = 6;
+/// A searcher without traffic is asked for its state this often. Draining and new index versions
+/// are then known within "a few seconds".
+constexpr Duration ProbeInterval = 2s;
+/// Longest time for an answer to GET /info or DELETE.
+constexpr Duration ControlTimeout = 500ms;
+/// A link is silent early after this multiple of the usual latency, but not before the floor:
+/// one answer in 100 of a healthy searcher takes 200 ms.
+constexpr int SilenceLatencyFactor = 16;
+constexpr Duration EarlySilenceFloor = 400ms;
+/// Answers on other links of the searcher that show that it makes progress.
+constexpr std::uint64_t SilenceProgress = 8;
+/// No exchange holds a connection for longer, however late its deadline.
+constexpr Duration SilenceMax = 10s;
+
+} // namespace
+
+SearcherPool::SearcherPool(const Context &context, std::shared_ptr<UpstreamState> state,
+                           const SearcherLimits &limits, const UpstreamGate::Share &share)
+    : m_context(context)
+    , m_state(std::move(state))
+    , m_gate(limits)
+    , m_endpoint(parseEndpoint(m_state->address()))
+{
+    m_gate.setShare(share);
+    proceed(m_context.timers.now());
+}
+
+SearcherPool::~SearcherPool()
+{
+    m_context.timers.cancel(m_timer);
+    for (const auto &link : m_links)
+        link->connection->close();
+}
+
+void SearcherPool::configure(const SearcherLimits &limits, const UpstreamGate::Share &share)
+{
+    m_gate.setLimits(limits);
+    m_gate.setShare(share);
+    proceed(m_context.timers.now());
+}
+
+void SearcherPool::submit(PoolRequest request)
+{
+    const TimePoint now = m_context.timers.now();
+    if (m_isRetiring || m_state->isDraining()) {
+        fail(request, SubFailure::NotSent);
+        return;
+    }
+    if (!m_endpoint || (m_connectFailures > 0 && !isEstablished())) {
+        fail(request, SubFailure::ConnectFailed);
+        return;
+    }
+    if (m_waiting.empty() && tryStart(request, now))
+        return;
+    if (m_waiting.size() >= MaxWaiting) {
+        fail(request, SubFailure::NoCapacity);
+        return;
+    }
+    wakeAt(request.deadline - MinRemaining);
+    const TimePoint deadline = request.deadline;
+    m_waiting.emplace(deadline, std::move(request));
+}
+
+void SearcherPool::cancel(SubRequestId id)
+{
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                      [id](const auto &entry) { return entry.second.id == id; });
+    if (waiting != m_waiting.end()) {
+        fail(waiting->second, SubFailure::Cancelled);
+        m_waiting.erase(waiting);
+        return;
+    }
+    const auto busy = std::find_if(m_links.begin(), m_links.end(), [id](const auto &link) {
+        return link->state == LinkState::Busy && link->request.id == id && link->request.listener;
+    });
+    if (busy == m_links.end())
+        return;
+    fail((*busy)->request, SubFailure::Cancelled);
+    Link *idle = idleLink();
+    if (idle && sendControl(*idle, SearcherCall::Cancel, id, m_context.timers.now()))
+        m_context.counters.cancels.fetch_add(1, std::memory_order_relaxed);
+}
+
+void SearcherPool::retire()
+{
+    m_isRetiring = true;
+    failWaiting(SubFailure::NotSent);
+    std::erase_if(m_links, [](const auto &link) {
+        if (link->state != LinkState::Busy)
+            link->connection->close();
+        return link->state != LinkState::Busy;
+    });
+}
+
+SearcherPool::Link &SearcherPool::linkOf(const SearcherConnection &connection)
+{
+    return **std::find_if(m_links.begin(), m_links.end(), [&connection](const auto &link) {
+        return link->connection.get() == &connection;
+    });
+}
+
+SearcherPool::Link *SearcherPool::idleLink()
+{
+    for (const auto &link : m_links)
+        if (link->state == LinkState::Idle)
+            return link.get();
+    return nullptr;
+}
+
+void SearcherPool::removeLink(const Link &link)
+{
+    std::erase_if(m_links, [&link](const auto &other) { return other.get() == &link; });
+}
+
+bool SearcherPool::isEstablished() const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [](const auto &link) {
+        return link->hasAnswered || link->state == LinkState::Idle;
+    });
+}
+
+void SearcherPool::proceed(TimePoint now)
+{
+    pump(now);
+    keepConnections(now);
+    probeIfDue(now);
+}
+
+void SearcherPool::pump(TimePoint now)
+{
+    while (!m_waiting.empty()) {
+        const auto first = m_waiting.begin();
+        if (!tryStart(first->second, now))
+            return;
+        m_waiting.erase(first);
+    }
+}
+
+bool SearcherPool::tryStart(PoolRequest &request, TimePoint now)
+{
+    while (true) {
+        if (request.deadline - now < MinRemaining) {
+            fail(request, SubFailure::NoCapacity);
+            return true;
+        }
+        Link *link = idleLink();
+        if (!link)
+            return false;
+        switch (m_gate.tryDispatch(now)) {
+        case UpstreamGate::Verdict::WaitForSlot:
+            return false;
+        case UpstreamGate::Verdict::WaitForWarmUp:
+            wakeAt(m_gate.nextAllowed(now));
+            return false;
+        case UpstreamGate::Verdict::Dispatch:
+            break;
+        }
+        checkInvariant(Invariant::ColdBound, !m_gate.isCold(now) || m_gate.running() == 1,
+                       "more than one request in flight at a cold searcher");
+        checkInvariant(Invariant::LeavingUpstream, !m_isRetiring && !m_state->isDraining(),
+                       "dispatch to a searcher that drains or was removed");
+        const SearcherMessage message{
+                request.kind == RequestKind::Book ? SearcherCall::Book : SearcherCall::Search,
+                request.id,
+                request.shard,
+                request.indexVersion,
+                request.deadline - now,
+                request.body,
+        };
+        if (!link->connection->start(message)) {
+            // No byte was accepted, so that another connection may carry the same request.
+            m_gate.finish(now);
+            m_mayHaveRestarted = true;
+            removeLink(*link);
+            keepConnections(now);
+            continue;
+        }
+        link->state = LinkState::Busy;
+        link->since = now;
+        link->answersBefore = m_answers;
+        link->request = std::move(request);
+        link->request.wasWritten = true;
+        wakeAt(std::min(link->request.deadline, earlySilence(*link)));
+        return true;
+    }
+}
+
+void SearcherPool::keepConnections(TimePoint now)
+{
+    if (m_isRetiring || !m_endpoint)
+        return;
+    const std::size_t wanted =
+            std::min(m_gate.connectionShare(), m_gate.slotShare() + SpareConnections);
+    while (m_links.size() > wanted) {
+        Link *link = idleLink();
+        if (!link)
+            return;
+        link->connection->close();
+        removeLink(*link);
+    }
+    while (m_links.size() < wanted) {
+        if (now < m_nextConnect) {
+            wakeAt(m_nextConnect);
+            return;
+        }
+        auto link = std::make_unique<Link>();
+        link->connection =
+                std::make_shared<SearcherConnection>(m_context.io, m_state->address(), *this);
+        link->since = now;
+        link->connection->open(*m_endpoint);
+        m_links.push_back(std::move(link));
+        m_context.counters.connectionsOpened.fetch_add(1, std::memory_order_relaxed);
+        wakeAt(now + ConnectTimeout);
+    }
+}
+
+void SearcherPool::noteConnectFailure(TimePoint now)
+{
+    // Connections opened together fail together and count as one attempt.
+    if (now >= m_nextConnect) {
+        const std::uint32_t doublings = std::min(m_connectFailures, MaxBackoffDoublings);
+        m_nextConnect = now + std::min(ConnectBackoffMin * (1U << doublings), ConnectBackoffMax);
+        ++m_connectFailures;
+    }
+    if (!isEstablished()) {
+        m_state->recordFailure();
+        failWaiting(SubFailure::ConnectFailed);
+    }
+}
+
+bool SearcherPool::sendControl(Link &link, SearcherCall call, SubRequestId id, TimePoint now)
+{
+    SearcherMessage message;
+    message.call = call;
+    message.id = id;
+    if (!link.connection->start(message)) {
+        removeLink(link);
+        m_mayHaveRestarted = true;
+        keepConnections(now);
+        return false;
+    }
+    link.state = LinkState::Control;
+    link.since = now;
+    wakeAt(now + ControlTimeout);
+    return true;
+}
+
+void SearcherPool::probeIfDue(TimePoint now)
+{
+    if (m_isRetiring)
+        return;
+    if (now - m_lastHeard < ProbeInterval) {
+        wakeAt(m_lastHeard + ProbeInterval);
+        return;
+    }
+    wakeAt(now + ProbeInterval);
+    if (Link *link = idleLink())
+        sendControl(*link, SearcherCall::Info, 0, now);
+}
+
+void SearcherPool::onOpen(SearcherConnection &connection)
+{
+    const TimePoint now = m_context.timers.now();
+    Link &link = linkOf(connection);
+    // A connection belongs to one run of the searcher's process. Asking for its Boot-Id first shows
+    // a restart before any work is sent on it.
+    if (!m_skipsProbe) {
+        sendControl(link, SearcherCall::Info, 0, now);
+        return;
+    }
+    link.state = LinkState::Idle;
+    link.since = now;
+    proceed(now);
+}
+
+void SearcherPool::onOpenFailed(SearcherConnection &connection, bool wasRefused)
+{
+    const TimePoint now = m_context.timers.now();
+    removeLink(linkOf(connection));
+    // A searcher that answers on other connections is at its connection limit, not restarting.
+    if (wasRefused && !isEstablished())
+        becomeCold(now);
+    noteConnectFailure(now);
+    proceed(now);
+}
+
+void SearcherPool::onAnswer(SearcherConnection &connection, SearcherAnswer &answer, bool isLast)
+{
+    const TimePoint now = m_context.timers.now();
+    Link &link = linkOf(connection);
+    ++m_answers;
+    m_lastHeard = now;
+    m_connectFailures = 0;
+    link.hasAnswered = true;
+    if (link.state == LinkState::Busy) {
+        takeSubAnswer(link, answer, now);
+    } else {
+        m_skipsProbe = false;
+        observe(answer, now);
+    }
+    link.state = LinkState::Idle;
+    link.since = now;
+    if (isLast || m_isRetiring) {
+        connection.close();
+        removeLink(link);
+    }
+    proceed(now);
+}
+
+void SearcherPool::takeSubAnswer(Link &link, SearcherAnswer &answer, TimePoint now)
+{
+    m_gate.finish(now);
+    observe(answer, now);
+    const bool wasCold = m_gate.isCold(now);
+    const Duration latency = now - link.since;
+    if (answer.status == 200) {
+        m_state->recordLatency(latency);
+        m_state->recordSuccess();
+        m_gate.observeAnswer(now, latency);
+    } else {
+        m_state->recordFailure();
+        if (answer.status == 503)
+            m_gate.observeShed(now);
+    }
+    noteColdStart(wasCold, now);
+
+    PoolRequest request = std::move(link.request);
+    if (!request.listener) {
+        if (answer.status == 200)
+            m_context.counters.lateAnswers.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (answer.status == 503 && answer.isNotRun) {
+        fail(request, SubFailure::Refused);
+    } else if (answer.status != 200) {
+        fail(request, SubFailure::Failed);
+    } else {
+        checkInvariant(Invariant::OwnAnswer, answer.requestId == request.id,
+                       "answer of another sub-request");
+        SubAnswer end{request.id,       request.shard,          answer.indexVersion,
+                      answer.documents, std::move(answer.body), latency};
+        m_context.ends.onAnswered(std::move(request), std::move(end));
+    }
+}
+
+void SearcherPool::observe(const SearcherAnswer &answer, TimePoint now)
+{
+    const bool wasCold = m_gate.isCold(now);
+    if (answer.bootId)
+        m_gate.observeBoot(*answer.bootId, now);
+    else if (m_mayHaveRestarted)
+        m_gate.becomeCold(now);
+    m_mayHaveRestarted = false;
+    noteColdStart(wasCold, now);
+    if (answer.served)
+        m_state->setServed(*answer.served);
+    // Only a full answer without the header shows that draining has ended.
+    if (answer.isDraining) {
+        m_state->setDraining(true);
+        failWaiting(SubFailure::NotSent);
+    } else if (answer.status == 200) {
+        m_state->setDraining(false);
+    }
+}
+
+void SearcherPool::onLost(SearcherConnection &connection, ConnectionLoss loss)
+{
+    const TimePoint now = m_context.timers.now();
+    Link &link = linkOf(connection);
+    if (loss == ConnectionLoss::Malformed)
+        m_context.counters.malformedAnswers.fetch_add(1, std::memory_order_relaxed);
+    if (link.state == LinkState::Busy) {
+        m_gate.finish(now);
+        if (link.request.listener) {
+            m_state->recordFailure();
+            fail(link.request, loss == ConnectionLoss::Malformed ? SubFailure::Malformed
+                                                                 : SubFailure::ConnectionLost);
+        }
+    }
+    // An idle connection that the searcher closes in order may only have been idle for too long;
+    // the Boot-Id on its replacement shows whether the searcher restarted.
+    if (loss == ConnectionLoss::Reset ||
+        (loss == ConnectionLoss::Closed && link.state == LinkState::Busy))
+        becomeCold(now);
+    m_mayHaveRestarted = true;
+    const bool hadAnswered = link.hasAnswered;
+    removeLink(link);
+    // Without this, a searcher that accepts and closes would be connected to without a pause.
+    if (!hadAnswered)
+        noteConnectFailure(now);
+    proceed(now);
+}
+
+void SearcherPool::becomeCold(TimePoint now)
+{
+    const bool wasCold = m_gate.isCold(now);
+    m_gate.becomeCold(now);
+    noteColdStart(wasCold, now);
+}
+
+void SearcherPool::noteColdStart(bool wasCold, TimePoint now)
+{
+    const bool isCold = m_gate.isCold(now);
+    if (isCold && !wasCold)
+        m_context.counters.coldStarts.fetch_add(1, std::memory_order_relaxed);
+    m_state->setCold(isCold);
+}
+
+void SearcherPool::fail(PoolRequest &request, SubFailure failure)
+{
+    checkInvariant(Invariant::TrueNotRun,
+                   !request.wasWritten || failure == SubFailure::Refused ||
+                           !isProvenNotRun(failure),
+                   "a sub-request that was written ended as not run");
+    // The id stays with the link of a request that is under way, for a late answer.
+    PoolRequest ended = request;
+    request.listener = nullptr;
+    m_context.ends.onFailed(std::move(ended), failure);
+}
+
+void SearcherPool::failWaiting(SubFailure failure)
+{
+    for (auto &[deadline, request] : m_waiting)
+        fail(request, failure);
+    m_waiting.clear();
+}
+
+TimePoint SearcherPool::earlySilence(const Link &link) const
+{
+    return link.since + std::max(EarlySilenceFloor, m_state->latency() * SilenceLatencyFactor);
+}
+
+TimePoint SearcherPool::latestSilence(const Link &link) const
+{
+    switch (link.state) {
+    case LinkState::Connecting:
+        return link.since + ConnectTimeout;
+    case LinkState::Control:
+        return link.since + ControlTimeout;
+    case LinkState::Busy:
+        return std::min(link.since + SilenceMax, link.request.deadline + SilenceBound);
+    case LinkState::Idle:
+        break;
+    }
+    return TimePoint::max();
+}
+
+void SearcherPool::wakeAt(TimePoint time)
+{
+    if (time >= m_wakeAt)
+        return;
+    m_context.timers.cancel(m_timer);
+    m_wakeAt = time;
+    m_timer = m_context.timers.schedule(time - m_context.timers.now(), [this] { onTimer(); });
+}
+
+void SearcherPool::onTimer()
+{
+    m_wakeAt = TimePoint::max();
+    const TimePoint now = m_context.timers.now();
+    while (!m_waiting.empty() && m_waiting.begin()->first - now < MinRemaining) {
+        fail(m_waiting.begin()->second, SubFailure::NoCapacity);
+        m_waiting.erase(m_waiting.begin());
+    }
+    checkLinks(now);
+    m_state->setCold(m_gate.isCold(now));
+    proceed(now);
+    if (!m_waiting.empty())
+        wakeAt(m_waiting.begin()->first - MinRemaining);
+}
+
+void SearcherPool::checkLinks(TimePoint now)
+{
+    std::vector<Link *> silent;
+    for (const auto &link : m_links) {
+        const TimePoint latest = latestSilence(*link);
+        if (now >= latest) {
+            silent.push_back(link.get());
+            continue;
+        }
+        if (latest != TimePoint::max())
+            wakeAt(latest);
+        if (link->state != LinkState::Busy)
+            continue;
+        if (link->request.listener && now >= link->request.deadline) {
+            m_state->recordFailure();
+            fail(link->request, SubFailure::TimedOut);
+        }
+        if (link->request.listener)
+            wakeAt(link->request.deadline);
+        // A booking is not given up early, since it cannot be repeated.
+        if (link->request.kind == RequestKind::Book)
+            continue;
+        if (now < earlySilence(*link))
+            wakeAt(earlySilence(*link));
+        else if (m_answers - link->answersBefore >= SilenceProgress)
+            silent.push_back(link.get());
+        else
+            wakeAt(now + EarlySilenceFloor);
+    }
+    for (Link *link : silent) {
+        const LinkState state = link->state;
+        link->connection->close();
+        if (state == LinkState::Busy) {
+            m_gate.finish(now);
+            if (link->request.listener) {
+                m_state->recordFailure();
+                fail(link->request, now >= link->request.deadline ? SubFailure::TimedOut
+                                                                  : SubFailure::ConnectionLost);
+            }
+        }
+        if (state == LinkState::Control && !link->hasAnswered) {
+            // Some searchers leave GET /info unanswered while they serve; without its Boot-Id the
+            // next connection may belong to a new process.
+            m_skipsProbe = true;
+            becomeCold(now);
+        }
+        removeLink(*link);
+        if (state == LinkState::Connecting)
+            noteConnectFailure(now);
+        else
+            m_context.counters.silentConnections.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/upstream_state.cpp
@@ -0,0 +1,29 @@
+#include <geraniumcart/upstream_state.h>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Weight of one sample in the smoothed latency is 1 / LatencySmoothing.
+constexpr Duration::rep LatencySmoothing = 8;
+
+} // namespace
+
+void UpstreamState::recordLatency(Duration sample)
+{
+    // Two writers may lose a sample to each other, which the smoothing absorbs.
+    const Duration::rep old = m_latency.load(std::memory_order_relaxed);
+    const Duration::rep next =
+            old == 0 ? sample.count() : old + (sample.count() - old) / LatencySmoothing;
+    m_latency.store(next, std::memory_order_relaxed);
+}
+
+void UpstreamState::setServed(ServedVersions versions)
+{
+    // A reader between the two stores sees a range of both; an answer states its own version, so
+    // a request sent on such a range ends as an answer of the wrong version, never as a mixed one.
+    m_oldestVersion.store(versions.oldest, std::memory_order_release);
+    m_newestVersion.store(versions.newest, std::memory_order_release);
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/tests/direct_sender_test.cpp
@@ -0,0 +1,215 @@
+#include <catch2/catch.hpp>
+
+#include "connection/direct_sender_p.h"
+#include "tiny_searcher.h"
+
+#include <geraniumcart/config.h>
+
+#include <boost/asio/post.hpp>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+using namespace geraniumcart;
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto TestTimeout = 10s;
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const auto end = Clock::now() + TestTimeout;
+    while (!condition()) {
+        if (Clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(1ms);
+    }
+    return true;
+}
+
+std::string nameOf(std::optional<SubFailure> failure)
+{
+    return failure ? toString(*failure) : "answered";
+}
+
+/// Collects ends and notes one that came twice, too early or on another thread.
+class Ends : public SubRequestListener
+{
+public:
+    struct End
+    {
+        std::optional<SubFailure> failure;
+        SubAnswer answer;
+        Clock::time_point at;
+    };
+
+    void onAnswer(SubAnswer answer) override
+    {
+        const SubRequestId id = answer.id;
+        add(id, {{}, std::move(answer), Clock::now()});
+    }
+    void onFailure(SubRequestId id, SubFailure failure) override
+    {
+        add(id, {failure, {}, Clock::now()});
+    }
+    /// The end of @p id; nothing if it does not come.
+    std::optional<End> wait(SubRequestId id)
+    {
+        std::unique_lock lock(m_mutex);
+        if (!m_changed.wait_for(lock, TestTimeout, [&] { return m_ends.contains(id); }))
+            return std::nullopt;
+        return m_ends.at(id);
+    }
+    std::size_t size()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ends.size();
+    }
+    std::atomic<bool> isSending{false};
+    std::atomic<int> faults{0};
+    std::thread::id thread;
+
+private:
+    void add(SubRequestId id, End end)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (isSending || std::this_thread::get_id() != thread || m_ends.contains(id))
+            ++faults;
+        m_ends.emplace(id, std::move(end));
+        m_changed.notify_all();
+    }
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<SubRequestId, End> m_ends;
+};
+
+/// Workers with pools, and requests sent from the first worker.
+struct Fixture
+{
+    explicit Fixture(std::uint32_t workerCount = 2)
+        : workers(workerCount)
+        , pools(workers)
+    {
+        workers.start();
+    }
+    ~Fixture() { workers.stop(); }
+
+    void configure(std::vector<UpstreamConfig> searchers) { pools.configure(std::move(searchers)); }
+    UpstreamConfig warmConfig(const std::string &address, std::uint32_t slots = 2) const
+    {
+        const SearcherLimits limits{
+                .slots = slots, .coldRequestsPerSecond = 1000, .warmUp = Duration::zero()};
+        return {std::make_shared<UpstreamState>(address), limits, {}};
+    }
+    SubRequest request(const std::shared_ptr<UpstreamState> &state, Duration remaining,
+                       RequestKind kind = RequestKind::Search)
+    {
+        SubRequest made;
+        made.id = ++lastId;
+        made.kind = kind;
+        made.upstream = state;
+        made.shard = 4;
+        made.indexVersion = 5;
+        made.deadline = Clock::now() + remaining;
+        made.body = body;
+        return made;
+    }
+    void send(std::vector<SubRequest> requests)
+    {
+        boost::asio::post(workers.worker(0).context, [this, requests = std::move(requests)] {
+            ends->thread = std::this_thread::get_id();
+            ends->isSending = true;
+            pools.sender(0).send(requests, ends);
+            ends->isSending = false;
+        });
+    }
+    void cancel(const SubRequest &request)
+    {
+        boost::asio::post(workers.worker(0).context,
+                          [this, request] { pools.sender(0).cancel(request); });
+    }
+    /// Sends one request that must be answered, so that connections and boot identity are known.
+    bool warmUp(const std::shared_ptr<UpstreamState> &state)
+    {
+        send({request(state, TestTimeout)});
+        const auto end = ends->wait(lastId);
+        return end && !end->failure;
+    }
+
+    WorkerPool workers;
+    UpstreamPools pools;
+    std::shared_ptr<Ends> ends = std::make_shared<Ends>();
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>(R"({"q":"x"})");
+    SubRequestId lastId = 1000;
+};
+
+} // namespace
+
+// Guards against an end that is wrong for what the searcher did, a claim of "not run" that may be
+// false (P7), and an answer of another request (P6).
+TEST_CASE("each fault of a searcher has its failure")
+{
+    using Failure = std::optional<SubFailure>;
+    const auto [failure, reaction, kind,
+                expected] = GENERATE(table<const char *, Reaction, RequestKind, Failure>({
+            {"good answer lost", Reaction::Answer, RequestKind::Search, {}},
+            {"second answer spoils the first", Reaction::AnswerTwice, RequestKind::Search, {}},
+            {"answer lost with its connection",
+             Reaction::CloseAfterAnswer,
+             RequestKind::Search,
+             {}},
+            {"wrong id taken", Reaction::WrongId, RequestKind::Search, SubFailure::Malformed},
+            {"missing id taken", Reaction::NoId, RequestKind::Search, SubFailure::Malformed},
+            {"wrong shard taken", Reaction::WrongShard, RequestKind::Search, SubFailure::Malformed},
+            {"broken JSON spliced", Reaction::NotJson, RequestKind::Search, SubFailure::Malformed},
+            {"other protocol taken", Reaction::NoHttp, RequestKind::Search, SubFailure::Malformed},
+            {"oversized answer read", Reaction::TooLong, RequestKind::Search,
+             SubFailure::Malformed},
+            {"reset within a request counts as not run", Reaction::ResetInRequest,
+             RequestKind::Book, SubFailure::ConnectionLost},
+            {"reset after a request counts as not run", Reaction::ResetAfterRequest,
+             RequestKind::Book, SubFailure::ConnectionLost},
+            {"reset within an answer ignored", Reaction::ResetInAnswer, RequestKind::Book,
+             SubFailure::ConnectionLost},
+            {"short answer taken", Reaction::CloseInAnswer, RequestKind::Book,
+             SubFailure::ConnectionLost},
+            {"silence waited out", Reaction::Silent, RequestKind::Book, SubFailure::TimedOut},
+            {"Not-Run overlooked", Reaction::NotRun, RequestKind::Book, SubFailure::Refused},
+            {"503 alone counts as not run", Reaction::Shed, RequestKind::Book, SubFailure::Failed},
+            {"error counts as answer", Reaction::Error, RequestKind::Search, SubFailure::Failed},
+    }));
+    INFO(failure);
+    TinySearcher searcher;
+    Fixture fixture;
+    const auto config = fixture.warmConfig(searcher.address());
+    fixture.configure({config});
+    REQUIRE(fixture.warmUp(config.state));
+
+    searcher.reaction = reaction;
+    if (reaction == Reaction::ResetInRequest)
+        fixture.body = std::make_shared<const std::string>(16 * 1024 * 1024, ' ');
+    fixture.send({fixture.request(config.state, 300ms, kind)});
+    const auto end = fixture.ends->wait(fixture.lastId);
+    REQUIRE(end);
+    CHECK(nameOf(end->failure) == nameOf(expected));
+    if (!expected) {
+        CHECK(end->answer.shard == 4);
+        CHECK(end->answer.indexVersion == 5);
+        CHECK(end->answer.documents == 10);
+    }
+    CHECK(searcher.requests == 2);
+    CHECK(config.state->served() == ServedVersions{3, 5});
+    // The pool recovers: the connection is replaced and the next request is answered.
+    searcher.reaction = Reaction::Answer;
+    fixture.body = std::make_shared<const std::string>("{}");
+    CHECK(fixture.warmUp(config.state));
+    CHECK(config.state->inFlight() == 0);
+    CHECK(fixture.ends->faults == 0);
+}
