Give searcher connection types names of their own

parseEndpoint, SearcherAnswer and SearcherCall were also names in tools/, so that the tests did not link, or linked two types of one name. The endpoint parser is now a member of SearcherConnection and the types are UpstreamAnswer, UpstreamCall and UpstreamMessage.

--- a/src/connection/searcher_connection.cpp
+++ b/src/connection/searcher_connection.cpp
@@ -62,7 +62,7 @@
 class AnswerParser final : public http::basic_parser<false>
 {
 public:
-    explicit AnswerParser(SearcherAnswer &answer)
+    explicit AnswerParser(UpstreamAnswer &answer)
         : m_answer(answer)
     {
         header_limit(MaxHeadBytes);
@@ -145,7 +145,7 @@
         return true;
     }
 
-    SearcherAnswer &m_answer;
+    UpstreamAnswer &m_answer;
 };
 
 /// Accepts every event of the JSON parser and keeps none. Boost.JSON prescribes the names.
@@ -187,7 +187,7 @@
 
 } // namespace
 
-std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address)
+std::optional<asio::ip::tcp::endpoint> SearcherConnection::parseEndpoint(std::string_view address)
 {
     const std::size_t colon = address.rfind(':');
     std::uint16_t port = 0;
@@ -216,24 +216,24 @@
     {
     }
 
-    void encode(const SearcherMessage &message)
+    void encode(const UpstreamMessage &message)
     {
         m_call = message.call;
         m_id = message.id;
         m_shard = message.shard;
         m_head.clear();
         switch (message.call) {
-        case SearcherCall::Search:
+        case UpstreamCall::Search:
             m_head += "POST /search";
             break;
-        case SearcherCall::Book:
+        case UpstreamCall::Book:
             m_head += "POST /book";
             break;
-        case SearcherCall::Cancel:
+        case UpstreamCall::Cancel:
             m_head += "DELETE /requests/";
             appendNumber(m_head, message.id);
             break;
-        case SearcherCall::Info:
+        case UpstreamCall::Info:
             m_head += "GET /info";
             break;
         }
@@ -258,7 +258,7 @@
 
     void expectAnswer()
     {
-        m_answer = SearcherAnswer();
+        m_answer = UpstreamAnswer();
         m_parser.emplace(m_answer);
     }
     bool isExpectingAnswer() const { return m_parser.has_value(); }
@@ -303,14 +303,14 @@
         return error ? State::NeedMore : finishIfDone();
     }
 
-    SearcherAnswer &answer() { return m_answer; }
+    UpstreamAnswer &answer() { return m_answer; }
     /// No further exchange may follow: the searcher said so, or sent more than one answer.
     bool isLast() const { return m_isLast || m_filled > 0; }
 
 private:
     bool isSubRequest() const
     {
-        return m_call == SearcherCall::Search || m_call == SearcherCall::Book;
+        return m_call == UpstreamCall::Search || m_call == UpstreamCall::Book;
     }
 
     State finishIfDone()
@@ -331,7 +331,7 @@
             return true;
         if (m_answer.requestId != m_id || m_answer.shard.value_or(m_shard) != m_shard)
             return false;
-        return m_call != SearcherCall::Search || m_answer.status != 200 || isJson(m_answer.body);
+        return m_call != UpstreamCall::Search || m_answer.status != 200 || isJson(m_answer.body);
     }
 
     bool isJson(const std::string &text)
@@ -344,12 +344,12 @@
 
     const std::string m_host;
     std::string m_head;
-    SearcherCall m_call = SearcherCall::Info;
+    UpstreamCall m_call = UpstreamCall::Info;
     SubRequestId m_id = 0;
     std::uint32_t m_shard = 0;
     std::vector<char> m_buffer;
     std::size_t m_filled = 0;
-    SearcherAnswer m_answer;
+    UpstreamAnswer m_answer;
     std::optional<AnswerParser> m_parser;
     json::basic_parser<JsonEvents> m_json;
     bool m_isLast = false;
@@ -386,7 +386,7 @@
     });
 }
 
-bool SearcherConnection::start(const SearcherMessage &message)
+bool SearcherConnection::start(const UpstreamMessage &message)
 {
     m_codec->encode(message);
     m_body = message.body;
--- a/src/connection/searcher_connection_p.h
+++ b/src/connection/searcher_connection_p.h
@@ -14,12 +14,12 @@
 
 namespace geraniumcart {
 
-enum class SearcherCall : std::uint8_t { Search, Book, Cancel, Info };
+enum class UpstreamCall : std::uint8_t { Search, Book, Cancel, Info };
 
 /// What one exchange on a searcher connection asks.
-struct SearcherMessage
+struct UpstreamMessage
 {
-    SearcherCall call = SearcherCall::Info;
+    UpstreamCall call = UpstreamCall::Info;
     /// The sub-request meant; unused by Info.
     SubRequestId id = 0;
     /// The rest is used by Search and Book only.
@@ -30,7 +30,7 @@
 };
 
 /// A searcher's answer that kept the protocol.
-struct SearcherAnswer
+struct UpstreamAnswer
 {
     std::uint16_t status = 0;
     std::optional<SubRequestId> requestId;
@@ -59,18 +59,18 @@
     virtual void onOpen(SearcherConnection &connection) = 0;
     virtual void onOpenFailed(SearcherConnection &connection, bool wasRefused) = 0;
     /// @param isLast true if the searcher closes the connection after this answer
-    virtual void onAnswer(SearcherConnection &connection, SearcherAnswer &answer, bool isLast) = 0;
+    virtual void onAnswer(SearcherConnection &connection, UpstreamAnswer &answer, bool isLast) = 0;
     virtual void onLost(SearcherConnection &connection, ConnectionLoss loss) = 0;
 };
 
-/// Parses `IP:port`. @return nothing if @p address is not of that form
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
-
 /// One HTTP/1.1 keep-alive connection to a searcher, with one exchange at a time. Stays on one
 /// worker; the listener must outlive it or close() it.
 class SearcherConnection : public std::enable_shared_from_this<SearcherConnection>
 {
 public:
+    /// Parses `IP:port`. @return nothing if @p address is not of that form
+    static std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
+
     SearcherConnection(boost::asio::io_context &context, const std::string &address,
                        SearcherConnectionListener &listener);
     ~SearcherConnection();
@@ -80,7 +80,7 @@
     /// Starts an exchange on an open connection that has none. It ends with onAnswer() or onLost().
     /// @return false if no byte of it was accepted for sending; the connection is then closed, and
     ///     nothing more is called
-    bool start(const SearcherMessage &message);
+    bool start(const UpstreamMessage &message);
     /// Closes at once, without a call.
     void close();
 
--- a/src/connection/searcher_pool.cpp
+++ b/src/connection/searcher_pool.cpp
@@ -43,7 +43,7 @@
     : m_context(context)
     , m_state(std::move(state))
     , m_gate(limits)
-    , m_endpoint(parseEndpoint(m_state->address()))
+    , m_endpoint(SearcherConnection::parseEndpoint(m_state->address()))
 {
     m_gate.setShare(share);
     proceed(m_context.timers.now());
@@ -101,7 +101,7 @@
         return;
     fail((*busy)->request, SubFailure::Cancelled);
     Link *idle = idleLink();
-    if (idle && sendControl(*idle, SearcherCall::Cancel, id, m_context.timers.now()))
+    if (idle && sendControl(*idle, UpstreamCall::Cancel, id, m_context.timers.now()))
         m_context.counters.cancels.fetch_add(1, std::memory_order_relaxed);
 }
 
@@ -183,8 +183,8 @@
                        "more than one request in flight at a cold searcher");
         checkInvariant(Invariant::LeavingUpstream, !m_isRetiring && !m_state->isDraining(),
                        "dispatch to a searcher that drains or was removed");
-        const SearcherMessage message{
-                request.kind == RequestKind::Book ? SearcherCall::Book : SearcherCall::Search,
+        const UpstreamMessage message{
+                request.kind == RequestKind::Book ? UpstreamCall::Book : UpstreamCall::Search,
                 request.id,
                 request.shard,
                 request.indexVersion,
@@ -252,9 +252,9 @@
     }
 }
 
-bool SearcherPool::sendControl(Link &link, SearcherCall call, SubRequestId id, TimePoint now)
+bool SearcherPool::sendControl(Link &link, UpstreamCall call, SubRequestId id, TimePoint now)
 {
-    SearcherMessage message;
+    UpstreamMessage message;
     message.call = call;
     message.id = id;
     if (!link.connection->start(message)) {
@@ -279,7 +279,7 @@
     }
     wakeAt(now + ProbeInterval);
     if (Link *link = idleLink())
-        sendControl(*link, SearcherCall::Info, 0, now);
+        sendControl(*link, UpstreamCall::Info, 0, now);
 }
 
 void SearcherPool::onOpen(SearcherConnection &connection)
@@ -289,7 +289,7 @@
     // A connection belongs to one run of the searcher's process. Asking for its Boot-Id first shows
     // a restart before any work is sent on it.
     if (!m_skipsProbe) {
-        sendControl(link, SearcherCall::Info, 0, now);
+        sendControl(link, UpstreamCall::Info, 0, now);
         return;
     }
     link.state = LinkState::Idle;
@@ -308,7 +308,7 @@
     proceed(now);
 }
 
-void SearcherPool::onAnswer(SearcherConnection &connection, SearcherAnswer &answer, bool isLast)
+void SearcherPool::onAnswer(SearcherConnection &connection, UpstreamAnswer &answer, bool isLast)
 {
     const TimePoint now = m_context.timers.now();
     Link &link = linkOf(connection);
@@ -331,7 +331,7 @@
     proceed(now);
 }
 
-void SearcherPool::takeSubAnswer(Link &link, SearcherAnswer &answer, TimePoint now)
+void SearcherPool::takeSubAnswer(Link &link, UpstreamAnswer &answer, TimePoint now)
 {
     m_gate.finish(now);
     observe(answer, now);
@@ -367,7 +367,7 @@
     }
 }
 
-void SearcherPool::observe(const SearcherAnswer &answer, TimePoint now)
+void SearcherPool::observe(const UpstreamAnswer &answer, TimePoint now)
 {
     const bool wasCold = m_gate.isCold(now);
     if (answer.bootId)
--- a/src/connection/searcher_pool_p.h
+++ b/src/connection/searcher_pool_p.h
@@ -106,7 +106,7 @@
 
     void onOpen(SearcherConnection &connection) override;
     void onOpenFailed(SearcherConnection &connection, bool wasRefused) override;
-    void onAnswer(SearcherConnection &connection, SearcherAnswer &answer, bool isLast) override;
+    void onAnswer(SearcherConnection &connection, UpstreamAnswer &answer, bool isLast) override;
     void onLost(SearcherConnection &connection, ConnectionLoss loss) override;
 
     Link &linkOf(const SearcherConnection &connection);
@@ -121,11 +121,11 @@
     bool tryStart(PoolRequest &request, TimePoint now);
     void keepConnections(TimePoint now);
     void noteConnectFailure(TimePoint now);
-    bool sendControl(Link &link, SearcherCall call, SubRequestId id, TimePoint now);
+    bool sendControl(Link &link, UpstreamCall call, SubRequestId id, TimePoint now);
     void probeIfDue(TimePoint now);
 
-    void takeSubAnswer(Link &link, SearcherAnswer &answer, TimePoint now);
-    void observe(const SearcherAnswer &answer, TimePoint now);
+    void takeSubAnswer(Link &link, UpstreamAnswer &answer, TimePoint now);
+    void observe(const UpstreamAnswer &answer, TimePoint now);
     void becomeCold(TimePoint now);
     void noteColdStart(bool wasCold, TimePoint now);
     void fail(PoolRequest &request, SubFailure failure);
