Add the open-loop load tool

Cause: the targets are tail latency, coverage and service by weight as callers see them, and bookings are to be compared with what searchers ran. Change: geraniumcart-load sends seeded Poisson arrivals, counts latency from the intended start, follows the list of entries and reports as table and JSON.

--- /dev/null
+++ b/tools/load_main.cpp
@@ -0,0 +1,145 @@
+#include "load_main.h"
+
+#include "http_call.h"
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace geraniumcart {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+Duration toDuration(double seconds)
+{
+    return std::chrono::round<Duration>(Seconds(seconds));
+}
+
+std::string findFault(const LoadOptions &options)
+{
+    if (options.entries.empty() == options.targets.empty())
+        return "give either --entries or --targets";
+    for (const auto &list : {options.entries, options.targets, options.searcherControls})
+        for (const std::string &address : list)
+            if (!parseEndpoint(address))
+                return "not an IP:PORT address: " + address;
+    if (options.service.empty())
+        return "--service is missing";
+    if (!(options.arrivals.ratePerSecond > 0))
+        return "--rate: expected more than 0";
+    if (!(options.arrivals.bookings >= 0 && options.arrivals.bookings <= 1))
+        return "--bookings: expected 0 to 1";
+    if (options.duration <= Duration::zero() || options.warmUp < Duration::zero())
+        return "--duration: expected more than 0, and --warm-up 0 or more";
+    if (options.deadline < std::chrono::milliseconds(1))
+        return "--deadline: expected at least 1 ms";
+    if (options.threads == 0 || options.connections == 0 || options.arrivals.tenants == 0)
+        return "--threads, --connections and --tenants: expected at least 1";
+    return {};
+}
+
+cxxopts::Options makeParser()
+{
+    cxxopts::Options parser("geraniumcart-load", "Open-loop load on geraniumcart daemons.");
+    auto add = parser.add_options();
+    add("entries", "IP:PORT to ask for /v1/entries, followed as callers do",
+        cxxopts::value<std::vector<std::string>>());
+    add("targets", "IP:PORT list to send to", cxxopts::value<std::vector<std::string>>());
+    add("service", "service to query", cxxopts::value<std::string>()->default_value(""));
+    add("rate", "requests per second", cxxopts::value<double>()->default_value("100"));
+    add("duration", "measured seconds", cxxopts::value<double>()->default_value("10"));
+    add("warm-up", "seconds before the measured window",
+        cxxopts::value<double>()->default_value("0"));
+    add("seed", "seed of the arrivals", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("classes", "name:weight:share,...",
+        cxxopts::value<std::string>()->default_value("ordinary:1:1"));
+    add("tenants", "number of tenants", cxxopts::value<std::uint32_t>()->default_value("1"));
+    add("deadline", "deadline in milliseconds", cxxopts::value<double>()->default_value("1000"));
+    add("bookings", "share of bookings, 0 to 1", cxxopts::value<double>()->default_value("0"));
+    add("no-idempotency-key", "send bookings without Idempotency-Key");
+    add("connections", "most open connections",
+        cxxopts::value<std::uint32_t>()->default_value("512"));
+    add("threads", "threads", cxxopts::value<std::uint32_t>()->default_value("2"));
+    add("json", "file for the report as JSON", cxxopts::value<std::string>()->default_value(""));
+    add("searcher-control", "IP:PORT of a stand-in searcher's control port; repeatable",
+        cxxopts::value<std::vector<std::string>>());
+    add("help", "print this text");
+    return parser;
+}
+
+LoadOptions readOptions(const cxxopts::ParseResult &parsed)
+{
+    const auto list = [&](const char *name) {
+        return parsed.count(name) != 0 ? parsed[name].as<std::vector<std::string>>()
+                                       : std::vector<std::string>();
+    };
+    LoadOptions options;
+    options.entries = list("entries");
+    options.targets = list("targets");
+    options.searcherControls = list("searcher-control");
+    options.service = parsed["service"].as<std::string>();
+    options.arrivals.ratePerSecond = parsed["rate"].as<double>();
+    options.arrivals.tenants = parsed["tenants"].as<std::uint32_t>();
+    options.arrivals.bookings = parsed["bookings"].as<double>();
+    options.duration = toDuration(parsed["duration"].as<double>());
+    options.warmUp = toDuration(parsed["warm-up"].as<double>());
+    options.seed = parsed["seed"].as<std::uint64_t>();
+    options.deadline = toDuration(parsed["deadline"].as<double>() / 1000);
+    options.connections = parsed["connections"].as<std::uint32_t>();
+    options.threads = parsed["threads"].as<std::uint32_t>();
+    options.sendsIdempotencyKey = parsed.count("no-idempotency-key") == 0;
+    options.jsonFile = parsed["json"].as<std::string>();
+    return options;
+}
+
+} // namespace
+
+std::optional<LoadOptions> parseLoadOptions(int argc, const char *const *argv, std::string &message)
+{
+    cxxopts::Options parser = makeParser();
+    try {
+        const auto parsed = parser.parse(argc, argv);
+        if (parsed.count("help") != 0) {
+            message = parser.help();
+            return std::nullopt;
+        }
+        LoadOptions options = readOptions(parsed);
+        auto classes = parseClasses(parsed["classes"].as<std::string>(), message);
+        if (!classes) {
+            message = "--classes: " + message;
+            return std::nullopt;
+        }
+        options.arrivals.classes = std::move(*classes);
+        message = findFault(options);
+        if (message.empty())
+            return options;
+    } catch (const cxxopts::exceptions::exception &error) {
+        message = error.what();
+    }
+    return std::nullopt;
+}
+
+int runLoadTool(const LoadOptions &options)
+{
+    std::string reason;
+    const auto report = runLoad(options, reason);
+    if (!report) {
+        std::cerr << "geraniumcart-load: " << reason << '\n';
+        return 1;
+    }
+    std::cout << formatLoadTable(*report);
+    if (options.jsonFile.empty())
+        return 0;
+    std::ofstream file(options.jsonFile);
+    file << formatLoadJson(*report) << '\n';
+    file.close();
+    if (file)
+        return 0;
+    std::cerr << "geraniumcart-load: cannot write " << options.jsonFile << '\n';
+    return 1;
+}
+
+} // namespace geraniumcart
