--- a/include/geraniumcart/config.h
+++ b/include/geraniumcart/config.h
@@ -24,6 +24,9 @@
 #ifndef GERANIUMCART_MAX_RULES_BYTES
 #define GERANIUMCART_MAX_RULES_BYTES (1024 * 1024)
 #endif
+#ifndef GERANIUMCART_MAX_NAME_BYTES
+#define GERANIUMCART_MAX_NAME_BYTES 128
+#endif
 
 namespace geraniumcart {
 
@@ -39,6 +42,8 @@
 inline constexpr std::size_t MaxMembers = GERANIUMCART_MAX_MEMBERS;
 /// Largest rules file, in bytes; the platform's object store holds values up to one megabyte.
 inline constexpr std::size_t MaxRulesBytes = GERANIUMCART_MAX_RULES_BYTES;
+/// Longest name in a rules file, in bytes; names become parts of object keys.
+inline constexpr std::size_t MaxNameBytes = GERANIUMCART_MAX_NAME_BYTES;
 
 /// Deadline of a request that states none.
 inline constexpr std::chrono::milliseconds DefaultDeadline{1000};
--- a/include/geraniumcart/rules.h
+++ b/include/geraniumcart/rules.h
@@ -76,6 +76,8 @@
     TooLong,
     UnknownRule,
     MissingComment,
+    /// The comment does not read `who: why`.
+    BadComment,
     MissingWord,
     BadName,
     BadNumber,
@@ -84,7 +86,8 @@
     Duplicate,
 };
 
-/// Why and where a rules file was refused. Line and column count from 1; column is in bytes.
+/// Why and where a rules file was refused. Line and column count from 1; column is in bytes and is
+/// that of the faulty word, or where a missing one belongs.
 struct ParseError
 {
     RuleError error = RuleError::None;
