--- a/src/request/booking_run.cpp
+++ b/src/request/booking_run.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr const char *NoReplica = "no replica";
+
 class Run final : public BookingRun
 {
 public:
@@ -42,6 +44,7 @@
 
     bool usesClaim() const { return !m_request.idempotencyKey.empty(); }
     std::shared_ptr<Run> self() { return std::static_pointer_cast<Run>(shared_from_this()); }
+    void refuseSoon(const char *reason);
     void onClaim(ClaimResult result);
     void dispatch();
     std::optional<std::uint32_t> chooseReplica() const;
@@ -71,35 +74,35 @@
 void Run::start()
 {
     const TimePoint now = m_context.timers.now();
-    const char *refusal = nullptr;
     const auto service = m_snapshot->services.find(m_request.service);
-    if (m_request.deadline <= now) {
-        refusal = "deadline passed";
-    } else if (service == m_snapshot->services.end() || !service->second->view ||
-               service->second->view->partitions.shardCount() == 0) {
-        refusal = "no partition map";
-    }
-    if (refusal) {
-        m_context.timers.schedule(Duration::zero(), [self = self(), refusal] {
-            self->answer({BookingOutcome::NotRun, {}, refusal, false});
-        });
-        return;
-    }
+    if (m_request.deadline <= now)
+        return refuseSoon("deadline passed");
+    if (service == m_snapshot->services.end() || !service->second->view ||
+        service->second->view->partitions.shardCount() == 0)
+        return refuseSoon("no partition map");
 
     m_service = service->second.get();
     m_routeHash = XXH3_64bits(m_request.routeKey.data(), m_request.routeKey.size());
     m_shard = static_cast<std::uint32_t>(m_routeHash % m_service->view->partitions.shardCount());
+    // A repeat gets its recorded outcome even while no replica lives, so the claim goes first.
+    if (!usesClaim() && !chooseReplica())
+        return refuseSoon(NoReplica);
+
     const Duration remaining = m_request.deadline - now;
     m_margin = std::min<Duration>(BookingAnswerMargin, remaining / 8);
     m_deadlineTimer = m_context.timers.schedule(remaining - m_margin,
                                                 [self = self()] { self->onDeadline(); });
-    if (usesClaim()) {
-        m_context.claims.claim(m_request, [self = self()](ClaimResult result) {
-            self->onClaim(std::move(result));
-        });
-    } else {
-        dispatch();
-    }
+    if (!usesClaim())
+        return dispatch();
+    m_context.claims.claim(
+            m_request, [self = self()](ClaimResult result) { self->onClaim(std::move(result)); });
+}
+
+void Run::refuseSoon(const char *reason)
+{
+    m_context.timers.schedule(Duration::zero(), [self = self(), reason] {
+        self->answer({BookingOutcome::NotRun, {}, reason, false});
+    });
 }
 
 void Run::onClaim(ClaimResult result)
@@ -133,7 +136,7 @@
     if (!replica) {
         return end({BookingOutcome::NotRun,
                     {},
-                    m_attempts.empty() ? "no replica" : "no replica took the request",
+                    m_attempts.empty() ? NoReplica : "no replica took the request",
                     false});
     }
     if (!checkInvariant(Invariant::AtMostOnce,
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -23,7 +23,8 @@
 constexpr std::uint64_t ExplorationInterval = 32;
 /// Failures in a row that make a replica count as failing. One refusal may be chance.
 constexpr std::uint32_t FailuresUntilAvoided = 2;
-/// Replicas with more work in flight than this quantile of what was seen count as busy.
+/// Replicas with more work in flight than this quantile of what was seen count as busy, as do those
+/// without a free slot. Where other daemons use the same slots, the quantile is the tighter bound.
 constexpr double BusyQuantile = 0.8;
 constexpr double BusyQuantileStep = 0.05;
 /// Sub-requests over which a version's share is restored after a fallback.
@@ -279,7 +280,7 @@
         for (const std::uint32_t replica : sample) {
             const UpstreamState &state = *service.searchers[replica].state;
             const std::uint32_t inFlight = state.inFlight();
-            const bool isBusy = inFlight > m_busyThreshold;
+            const bool isBusy = inFlight > m_busyThreshold || inFlight >= service.limits.slots;
             learn(inFlight);
             const Load load{isBusy ? inFlight : 0,
                             ignoresLatency ? 0 : latencyClass(state.latency()), inFlight,
