Add admission by tenant and class with an adaptive bound on concurrency

Cause: at more than their capacity, searchers answer everything late unless the entry daemon sheds the surplus.

Change: token buckets for each tenant and a weighted fair queue by class over a bound that latency and shed requests lower. A request that cannot end in time by the observed service time is shed at once. There is one instance for each service on a home worker; AdmissionClient reaches it from other workers by post.

--- /dev/null
+++ b/src/process/admission.cpp
@@ -0,0 +1,402 @@
+#include "process/concurrency_limit_p.h"
+
+#include <geraniumcart/admission.h>
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Interval at which waiting requests that can no longer end in time are shed.
+constexpr Duration SweepInterval = std::chrono::milliseconds(5);
+/// Of requests that are shed for the observed service time alone, while a place is free, one in
+/// this many is admitted. Otherwise a service that has become fast again would never show it.
+constexpr std::uint32_t TrialInterval = 16;
+/// Share of its spare time that a request may be expected to wait; the rest covers that the
+/// expectation is wrong.
+constexpr int SpareTimeDivisor = 2;
+
+/// Enforces one tenant's rate on this daemon.
+class TenantBucket
+{
+public:
+    TenantBucket(const LimitRule &rule, std::uint32_t liveMembers, TimePoint now)
+        : m_tokens(0)
+        , m_filledAt(now)
+    {
+        configure(rule, liveMembers, now);
+        m_tokens = m_limit.localBurst;
+    }
+
+    void configure(const LimitRule &rule, std::uint32_t liveMembers, TimePoint now)
+    {
+        fill(now);
+        const double members = std::max(liveMembers, 1U);
+        // A burst below one would refuse everything.
+        m_limit = {rule.tenant, rule.ratePerSecond, rule.burst, rule.ratePerSecond / members,
+                   std::max(1.0, rule.burst / members)};
+        m_tokens = std::min(m_tokens, m_limit.localBurst);
+    }
+
+    bool tryTake(TimePoint now)
+    {
+        fill(now);
+        if (m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+    void giveBack() { m_tokens = std::min(m_tokens + 1, m_limit.localBurst); }
+
+    const TenantLimit &limit() const { return m_limit; }
+
+private:
+    void fill(TimePoint now)
+    {
+        const double seconds = std::chrono::duration<double>(now - m_filledAt).count();
+        m_tokens = std::min(m_tokens + seconds * m_limit.localRatePerSecond, m_limit.localBurst);
+        m_filledAt = now;
+    }
+
+    TenantLimit m_limit;
+    double m_tokens;
+    TimePoint m_filledAt;
+};
+
+struct Waiting
+{
+    TimePoint deadline{};
+    AdmissionPolicy::Callback done;
+};
+
+/// Waiting requests of one class, with the class's place in the weighted fair queue.
+class ClassQueue
+{
+public:
+    void setWeight(std::uint32_t weight) { m_weight = std::max(weight, 1U); }
+    std::uint32_t weight() const { return m_weight; }
+    bool empty() const { return m_waiting.empty(); }
+    std::size_t size() const { return m_waiting.size(); }
+    /// Virtual time at which the class is next served.
+    double nextStart() const { return m_nextStart; }
+
+    void push(Waiting waiting, double virtualTime)
+    {
+        // A class that was idle has no claim on the time that it did not use.
+        if (m_waiting.empty())
+            m_nextStart = std::max(m_nextStart, virtualTime);
+        m_waiting.push_back(std::move(waiting));
+    }
+    Waiting pop()
+    {
+        Waiting first = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        return first;
+    }
+    void charge() { m_nextStart += 1.0 / m_weight; }
+
+    /// Takes out the requests whose deadline is before @p time.
+    void takeExpired(TimePoint time, std::vector<Waiting> &expired)
+    {
+        const auto firstExpired =
+                std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                                      [time](const Waiting &w) { return w.deadline >= time; });
+        std::move(firstExpired, m_waiting.end(), std::back_inserter(expired));
+        m_waiting.erase(firstExpired, m_waiting.end());
+    }
+    void moveTo(ClassQueue &other, double virtualTime)
+    {
+        for (Waiting &waiting : m_waiting)
+            other.push(std::move(waiting), virtualTime);
+        m_waiting.clear();
+    }
+
+private:
+    std::uint32_t m_weight = 1;
+    double m_nextStart = 0;
+    std::deque<Waiting> m_waiting;
+};
+
+class WeightedAdmission final : public AdmissionPolicy
+{
+public:
+    explicit WeightedAdmission(TimerService &timers)
+        : m_timers(timers)
+        , m_limit(timers)
+    {
+        m_classes[DefaultClassName];
+    }
+
+    ~WeightedAdmission() override { m_timers.cancel(m_sweepTimer); }
+
+    void configure(const RuleSet &rules, std::uint32_t liveMembers) override;
+    void admit(AdmissionRequest request, Callback done) override;
+    void finish(Duration latency, bool wasOverloaded) override;
+    LimitReport report() const override;
+
+private:
+    using Classes = std::map<std::string, ClassQueue, std::less<>>;
+
+    ClassQueue &queueFor(std::string_view className);
+    Duration expectedWait(const ClassQueue &queue) const;
+    bool mayWait(const ClassQueue &queue, TimePoint now, TimePoint deadline) const;
+    bool hasQueue() const;
+    /// Admits what waits while there are places.
+    void serveQueues();
+    void armSweep();
+    void sweep();
+
+    TimerService &m_timers;
+    ConcurrencyLimit m_limit;
+    std::map<std::string, TenantBucket, std::less<>> m_tenants;
+    Classes m_classes;
+    double m_virtualTime = 0;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_hopeless = 0;
+    TimerId m_sweepTimer = 0;
+    bool m_isServing = false;
+};
+
+void WeightedAdmission::configure(const RuleSet &rules, std::uint32_t liveMembers)
+{
+    const TimePoint now = m_timers.now();
+    std::erase_if(m_tenants, [&](const auto &tenant) {
+        return std::ranges::find(rules.limits, tenant.first, &LimitRule::tenant) ==
+               rules.limits.end();
+    });
+    for (const LimitRule &rule : rules.limits) {
+        const auto [tenant, isNew] = m_tenants.try_emplace(rule.tenant, rule, liveMembers, now);
+        if (!isNew)
+            tenant->second.configure(rule, liveMembers, now);
+    }
+
+    ClassQueue &defaultQueue = m_classes[DefaultClassName];
+    defaultQueue.setWeight(1);
+    for (auto it = m_classes.begin(); it != m_classes.end();) {
+        const bool isNamed = it->first == DefaultClassName ||
+                             std::ranges::find(rules.classes, it->first, &ClassRule::className) !=
+                                     rules.classes.end();
+        if (isNamed) {
+            ++it;
+            continue;
+        }
+        it->second.moveTo(defaultQueue, m_virtualTime);
+        it = m_classes.erase(it);
+    }
+    for (const ClassRule &rule : rules.classes)
+        m_classes[rule.className].setWeight(rule.weight);
+}
+
+void WeightedAdmission::admit(AdmissionRequest request, Callback done)
+{
+    const TimePoint now = m_timers.now();
+    if (request.deadline <= now)
+        return done(AdmissionVerdict::DeadlinePassed);
+    const auto tenant = m_tenants.find(request.tenant);
+    if (tenant != m_tenants.end() && !tenant->second.tryTake(now))
+        return done(AdmissionVerdict::RateLimited);
+
+    ClassQueue &queue = queueFor(request.className);
+    if (m_running < m_limit.limit() && !hasQueue()) {
+        const bool isHopeless = now + m_limit.lowLatency() > request.deadline;
+        if (!isHopeless || ++m_hopeless % TrialInterval == 0) {
+            ++m_running;
+            return done(AdmissionVerdict::Admitted);
+        }
+    } else {
+        m_limit.noteReached();
+        if (mayWait(queue, now, request.deadline)) {
+            queue.push({request.deadline, std::move(done)}, m_virtualTime);
+            armSweep();
+            return serveQueues();
+        }
+    }
+    // A request that was shed did no work, so it does not count against the tenant's rate.
+    if (tenant != m_tenants.end())
+        tenant->second.giveBack();
+    done(AdmissionVerdict::Overloaded);
+}
+
+void WeightedAdmission::finish(Duration latency, bool wasOverloaded)
+{
+    m_limit.observe(latency, wasOverloaded, m_running--);
+    serveQueues();
+}
+
+LimitReport WeightedAdmission::report() const
+{
+    LimitReport report;
+    for (const auto &[name, bucket] : m_tenants)
+        report.tenants.push_back(bucket.limit());
+    for (const auto &[name, queue] : m_classes)
+        report.classes.push_back({name, queue.weight(), static_cast<std::uint32_t>(queue.size())});
+    report.concurrency = m_limit.limit();
+    report.running = m_running;
+    return report;
+}
+
+ClassQueue &WeightedAdmission::queueFor(std::string_view className)
+{
+    const auto found = m_classes.find(className);
+    return found != m_classes.end() ? found->second : m_classes.find(DefaultClassName)->second;
+}
+
+Duration WeightedAdmission::expectedWait(const ClassQueue &queue) const
+{
+    std::uint64_t weights = queue.empty() ? queue.weight() : 0;
+    for (const auto &[name, other] : m_classes)
+        if (!other.empty())
+            weights += other.weight();
+    // One place comes free in each service time divided by the bound; the class gets its share.
+    const double turns = static_cast<double>(queue.size() + 1) * static_cast<double>(weights) /
+                         queue.weight() / std::max(m_limit.limit(), 1U);
+    return std::chrono::duration_cast<Duration>(turns * m_limit.typicalLatency());
+}
+
+bool WeightedAdmission::mayWait(const ClassQueue &queue, TimePoint now, TimePoint deadline) const
+{
+    const Duration spare = deadline - now - m_limit.highLatency();
+    return queue.size() < MaxQueuedPerClass && expectedWait(queue) <= spare / SpareTimeDivisor;
+}
+
+bool WeightedAdmission::hasQueue() const
+{
+    return std::ranges::any_of(m_classes, [](const auto &item) { return !item.second.empty(); });
+}
+
+void WeightedAdmission::serveQueues()
+{
+    // A callback may end or start requests; the loop that already runs serves those too.
+    if (std::exchange(m_isServing, true))
+        return;
+    while (m_running < m_limit.limit()) {
+        ClassQueue *next = nullptr;
+        for (auto &[name, queue] : m_classes)
+            if (!queue.empty() && (!next || queue.nextStart() < next->nextStart()))
+                next = &queue;
+        if (!next)
+            break;
+        const Waiting waiting = next->pop();
+        const TimePoint now = m_timers.now();
+        if (waiting.deadline <= now) {
+            waiting.done(AdmissionVerdict::DeadlinePassed);
+        } else if (now + m_limit.highLatency() > waiting.deadline) {
+            waiting.done(AdmissionVerdict::Overloaded);
+        } else {
+            m_virtualTime = next->nextStart();
+            next->charge();
+            ++m_running;
+            waiting.done(AdmissionVerdict::Admitted);
+        }
+    }
+    m_isServing = false;
+}
+
+void WeightedAdmission::armSweep()
+{
+    if (m_sweepTimer != 0)
+        return;
+    m_sweepTimer = m_timers.schedule(SweepInterval, [this] { sweep(); });
+}
+
+void WeightedAdmission::sweep()
+{
+    m_sweepTimer = 0;
+    const TimePoint now = m_timers.now();
+    std::vector<Waiting> expired;
+    for (auto &[name, queue] : m_classes)
+        queue.takeExpired(now + m_limit.highLatency(), expired);
+    for (const Waiting &waiting : expired)
+        waiting.done(waiting.deadline <= now ? AdmissionVerdict::DeadlinePassed
+                                             : AdmissionVerdict::Overloaded);
+    serveQueues();
+    if (hasQueue())
+        armSweep();
+}
+
+/// Baseline without limits.
+class UnlimitedAdmission final : public AdmissionPolicy
+{
+public:
+    explicit UnlimitedAdmission(TimerService &timers)
+        : m_timers(timers)
+    {
+    }
+
+    void configure(const RuleSet &, std::uint32_t) override {}
+    void admit(AdmissionRequest request, Callback done) override
+    {
+        if (request.deadline <= m_timers.now())
+            return done(AdmissionVerdict::DeadlinePassed);
+        ++m_running;
+        done(AdmissionVerdict::Admitted);
+    }
+    void finish(Duration, bool) override { --m_running; }
+    LimitReport report() const override
+    {
+        LimitReport report;
+        report.running = m_running;
+        return report;
+    }
+
+private:
+    TimerService &m_timers;
+    std::uint32_t m_running = 0;
+};
+
+} // namespace
+
+const char *toString(AdmissionVerdict verdict)
+{
+    switch (verdict) {
+    case AdmissionVerdict::Admitted:
+        return "admitted";
+    case AdmissionVerdict::RateLimited:
+        return "rateLimited";
+    case AdmissionVerdict::Overloaded:
+        return "overloaded";
+    case AdmissionVerdict::DeadlinePassed:
+        return "deadlinePassed";
+    }
+    return "unknown";
+}
+
+std::unique_ptr<AdmissionPolicy> makeAdmissionPolicy(AdmissionKind kind, TimerService &timers)
+{
+    if (kind == AdmissionKind::Unlimited)
+        return std::make_unique<UnlimitedAdmission>(timers);
+    return std::make_unique<WeightedAdmission>(timers);
+}
+
+AdmissionClient::AdmissionClient(AdmissionPolicy &policy, Post toHome, Post toSelf)
+    : m_policy(policy)
+    , m_toHome(std::move(toHome))
+    , m_toSelf(std::move(toSelf))
+{
+}
+
+void AdmissionClient::admit(AdmissionRequest request, AdmissionPolicy::Callback done)
+{
+    m_toHome([&policy = m_policy, toSelf = m_toSelf, request = std::move(request),
+              done = std::move(done)]() mutable {
+        policy.admit(std::move(request), [toSelf = std::move(toSelf),
+                                          done = std::move(done)](AdmissionVerdict verdict) {
+            toSelf([done, verdict] { done(verdict); });
+        });
+    });
+}
+
+void AdmissionClient::finish(Duration latency, bool wasOverloaded)
+{
+    m_toHome([&policy = m_policy, latency, wasOverloaded] {
+        policy.finish(latency, wasOverloaded);
+    });
+}
+
+} // namespace geraniumcart
