Add settings, JSON-line logs and logged invariants

A daemon needs validated settings and log events that a collector can parse.

Each setting has a flag and a GERANIUMCART_ variable, is validated, and is refused with its name, value and accepted range; new ones are max-connections and listen-backlog. Log events have a stable name and typed fields in the context map of log4cxx's JSON layout. Everything but printable ASCII in a field is replaced, since the layout does not keep such lines valid. checkInvariant logs through it.

--- a/include/geraniumcart/config.h
+++ b/include/geraniumcart/config.h
@@ -24,6 +24,15 @@
 #ifndef GERANIUMCART_MAX_RULES_BYTES
 #define GERANIUMCART_MAX_RULES_BYTES (1024 * 1024)
 #endif
+#ifndef GERANIUMCART_MAX_HEADER_BYTES
+#define GERANIUMCART_MAX_HEADER_BYTES (16 * 1024)
+#endif
+#ifndef GERANIUMCART_MAX_NAME_BYTES
+#define GERANIUMCART_MAX_NAME_BYTES 64
+#endif
+#ifndef GERANIUMCART_MAX_KEY_BYTES
+#define GERANIUMCART_MAX_KEY_BYTES 256
+#endif
 
 namespace geraniumcart {
 
@@ -39,6 +48,12 @@
 inline constexpr std::size_t MaxMembers = GERANIUMCART_MAX_MEMBERS;
 /// Largest rules file, in bytes; the platform's object store holds values up to one megabyte.
 inline constexpr std::size_t MaxRulesBytes = GERANIUMCART_MAX_RULES_BYTES;
+/// Largest header of a caller's request, in bytes.
+inline constexpr std::size_t MaxHeaderBytes = GERANIUMCART_MAX_HEADER_BYTES;
+/// Longest name of a tenant, class or service, in bytes.
+inline constexpr std::size_t MaxNameBytes = GERANIUMCART_MAX_NAME_BYTES;
+/// Longest idempotency key or route key, in bytes.
+inline constexpr std::size_t MaxKeyBytes = GERANIUMCART_MAX_KEY_BYTES;
 
 /// Deadline of a request that states none.
 inline constexpr std::chrono::milliseconds DefaultDeadline{1000};
@@ -52,5 +67,20 @@
 inline constexpr std::chrono::milliseconds StoreCallLimit{2000};
 /// A connection that holds an answer back for this long after its deadline is replaced.
 inline constexpr std::chrono::milliseconds SilenceBound{250};
+/// A caller's connection is closed when it brings no request for this long.
+inline constexpr std::chrono::milliseconds CallerIdleTimeout{60000};
+/// Time a caller has from the first byte of a request to its last.
+inline constexpr std::chrono::milliseconds CallerReadTimeout{10000};
+/// Time a caller has to take an answer.
+inline constexpr std::chrono::milliseconds CallerWriteTimeout{10000};
+/// After the last answer on a connection, what the caller still sends is read and dropped for at
+/// most this long. Closing with unread data would reset the connection and could destroy an answer
+/// that the caller has not read yet.
+inline constexpr std::chrono::milliseconds CallerLingerTimeout{1000};
+/// When a planned stop closes callers' connections, an idle one stays readable for this long, so
+/// that a request already under way to this daemon is still answered.
+inline constexpr std::chrono::milliseconds CallerDrainGrace{250};
+/// Pause after a failed accept, for example while the process has no free file descriptor.
+inline constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
 } // namespace geraniumcart
--- a/include/geraniumcart/settings.h
+++ b/include/geraniumcart/settings.h
@@ -37,6 +37,11 @@
     double retryShare = 0.2;
     /// How long a planned stop keeps serving after it left the entries list.
     Duration drain = std::chrono::seconds(3);
+    /// Most callers' connections open at once; further ones wait in the listen backlog.
+    std::uint32_t maxConnections = 10000;
+    /// Connections that the kernel keeps until they are accepted.
+    std::uint32_t listenBacklog = 1024;
+    /// trace, debug, info, warn or error.
     std::string logLevel = "info";
 };
 
@@ -49,6 +54,9 @@
     std::string message;
 };
 
+/// Reads flags, then the environment, then defaults, and validates every value.
+/// @param argv program name and flags, as main() gets them
+/// @return the settings, or nothing with @p failure filled in
 std::optional<Settings> parseSettings(int argc, const char *const *argv, SettingsFailure &failure);
 
 } // namespace geraniumcart
--- a/src/process/invariants.cpp
+++ b/src/process/invariants.cpp
@@ -1,8 +1,9 @@
 #include <geraniumcart/invariants.h>
 
+#include "process/log_p.h"
+
 #include <array>
 #include <atomic>
-#include <cstdio>
 #include <cstdlib>
 
 namespace geraniumcart {
@@ -54,8 +55,8 @@
     if (holds) [[likely]]
         return true;
     violations[slotOf(invariant)].fetch_add(1, std::memory_order_relaxed);
-    std::fprintf(stderr, "invariant %s violated: %.*s\n", toString(invariant),
-                 static_cast<int>(detail.size()), detail.data());
+    logEvent(LogLevel::Error, "invariantViolated",
+             {{"invariant", toString(invariant)}, {"detail", detail}});
     if (abortEnabled.load(std::memory_order_relaxed))
         std::abort();
     return false;
--- /dev/null
+++ b/src/process/log.cpp
@@ -0,0 +1,104 @@
+#include "process/log_p.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
+#include <log4cxx/spi/loggerrepository.h>
+
+#include <algorithm>
+#include <array>
+
+namespace geraniumcart {
+
+namespace {
+
+log4cxx::LevelPtr levelOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Trace:
+        return log4cxx::Level::getTrace();
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+log4cxx::LoggerPtr makeLogger()
+{
+    // Marked as configured first; otherwise log4cxx looks for a configuration file in the working
+    // directory.
+    log4cxx::LogManager::getLoggerRepository()->setConfigured(true);
+    const auto layout = std::make_shared<log4cxx::JSONLayout>();
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("geraniumcart");
+    logger->setAdditivity(false);
+    logger->addAppender(appender);
+    logger->setLevel(log4cxx::Level::getInfo());
+    return logger;
+}
+
+const log4cxx::LoggerPtr &logger()
+{
+    static const log4cxx::LoggerPtr Instance = makeLogger();
+    return Instance;
+}
+
+/// JSONLayout passes some control characters and broken UTF-8 through, which would make the line
+/// invalid JSON, so everything but printable ASCII is replaced.
+std::string printable(std::string_view text)
+{
+    std::string result(text);
+    for (char &letter : result)
+        if (letter < 0x20 || letter > 0x7e)
+            letter = '?';
+    return result;
+}
+
+} // namespace
+
+std::optional<LogLevel> parseLogLevel(std::string_view name)
+{
+    struct Entry
+    {
+        std::string_view name;
+        LogLevel level;
+    };
+    constexpr std::array Entries{
+            Entry{"trace", LogLevel::Trace}, Entry{"debug", LogLevel::Debug},
+            Entry{"info", LogLevel::Info},   Entry{"warn", LogLevel::Warn},
+            Entry{"error", LogLevel::Error},
+    };
+    const auto found = std::ranges::find(Entries, name, &Entry::name);
+    if (found == Entries.end())
+        return std::nullopt;
+    return found->level;
+}
+
+void configureLogging(LogLevel level)
+{
+    logger()->setLevel(levelOf(level));
+}
+
+void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields)
+{
+    const log4cxx::LevelPtr threshold = levelOf(level);
+    if (!logger()->isEnabledFor(threshold))
+        return;
+    for (const LogField &field : fields)
+        log4cxx::MDC::putLS(field.name, printable(field.value));
+    logger()->forcedLog(threshold, std::string(event), log4cxx::spi::LocationInfo());
+    std::string removed;
+    for (const LogField &field : fields)
+        log4cxx::MDC::remove(field.name, removed);
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/log_p.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace geraniumcart {
+
+enum class LogLevel : std::uint8_t { Trace, Debug, Info, Warn, Error };
+/// Reads a level's name as settings give it, in lower case.
+std::optional<LogLevel> parseLogLevel(std::string_view name);
+
+/// One named value of a log event. Durations are given in microseconds.
+struct LogField
+{
+    LogField(const char *fieldName, std::string_view fieldValue)
+        : name(fieldName)
+        , value(fieldValue)
+    {
+    }
+    LogField(const char *fieldName, const char *fieldValue)
+        : LogField(fieldName, std::string_view(fieldValue))
+    {
+    }
+    LogField(const char *fieldName, bool fieldValue)
+        : LogField(fieldName, fieldValue ? "true" : "false")
+    {
+    }
+    template <std::integral Number>
+    LogField(const char *fieldName, Number fieldValue)
+        : name(fieldName)
+        , value(std::to_string(fieldValue))
+    {
+    }
+    template <class Rep, class Period>
+    LogField(const char *fieldName, std::chrono::duration<Rep, Period> fieldValue)
+        : LogField(fieldName,
+                   std::chrono::duration_cast<std::chrono::microseconds>(fieldValue).count())
+    {
+    }
+
+    const char *name;
+    std::string value;
+};
+
+/// Sends log events at @p level and above to stderr, one JSON object a line. Without this call the
+/// level is Info. Thread-safe.
+void configureLogging(LogLevel level);
+
+/// Writes one event. @p event is its stable name in camel case; everything that varies belongs in
+/// @p fields. Thread-safe; takes a lock, so it is not for the path of an ordinary request.
+void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields = {});
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,340 @@
+#include <geraniumcart/config.h>
+#include <geraniumcart/settings.h>
+
+#include "process/log_p.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <span>
+
+namespace geraniumcart {
+
+namespace {
+
+constexpr std::size_t MaxSeeds = 64;
+
+/// One setting: its names, how it is described, and how its text is taken over.
+struct SettingSpec
+{
+    const char *flag;
+    const char *environment;
+    /// Null where the setting is required.
+    const char *fallback;
+    const char *accepted;
+    const char *help;
+    bool (*apply)(Settings &settings, std::string_view text);
+};
+
+bool isName(std::string_view text)
+{
+    const auto isAllowed = [](char letter) {
+        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+               (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.';
+    };
+    return !text.empty() && text.size() <= MaxNameBytes && std::ranges::all_of(text, isAllowed);
+}
+
+template <class Number>
+bool parseNumber(std::string_view text, Number low, Number high, Number &result)
+{
+    Number value{};
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    // Written so that a NaN is refused.
+    if (error != std::errc() || stop != end || !(value >= low && value <= high))
+        return false;
+    result = value;
+    return true;
+}
+
+bool isAddress(std::string_view text, std::uint32_t lowestPort)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    std::string_view host = text.substr(0, colon);
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (isBracketed)
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(std::string(host), error);
+    std::uint32_t port = 0;
+    return !error && address.is_v6() == isBracketed && !address.is_unspecified() &&
+           parseNumber<std::uint32_t>(text.substr(colon + 1), lowestPort, 65535, port);
+}
+
+/// Takes an address to bind; port 0 lets the kernel pick one. A wildcard is refused, since callers
+/// and peers are told the same address.
+bool takeBound(std::string &target, std::string_view text)
+{
+    if (!isAddress(text, 0))
+        return false;
+    target = text;
+    return true;
+}
+
+bool takeName(std::string &target, std::string_view text)
+{
+    if (!isName(text))
+        return false;
+    target = text;
+    return true;
+}
+
+bool takeSeeds(std::vector<std::string> &target, std::string_view text)
+{
+    target.clear();
+    while (!text.empty()) {
+        const std::size_t comma = text.find(',');
+        const std::string_view seed = text.substr(0, comma);
+        if (!isAddress(seed, 1) || target.size() == MaxSeeds)
+            return false;
+        target.emplace_back(seed);
+        if (comma == std::string_view::npos)
+            return true;
+        text.remove_prefix(comma + 1);
+        if (text.empty())
+            return false;
+    }
+    return true;
+}
+
+bool takeDuration(Duration &target, std::string_view text, Duration low, Duration high)
+{
+    const std::size_t unitStart = std::min(text.find_first_not_of("0123456789"), text.size());
+    const std::string_view unit = text.substr(unitStart);
+    std::uint32_t count = 0;
+    if (!parseNumber<std::uint32_t>(text.substr(0, unitStart), 0, 1'000'000'000, count))
+        return false;
+    Duration value{};
+    if (unit == "ms")
+        value = std::chrono::milliseconds(count);
+    else if (unit == "s")
+        value = std::chrono::seconds(count);
+    else
+        return false;
+    if (value < low || value > high)
+        return false;
+    target = value;
+    return true;
+}
+
+template <class Kind>
+struct Choice
+{
+    std::string_view text;
+    Kind kind;
+};
+
+template <class Kind, std::size_t Count>
+bool takeChoice(Kind &target, std::string_view text, const std::array<Choice<Kind>, Count> &choices)
+{
+    const auto found = std::ranges::find(choices, text, &Choice<Kind>::text);
+    if (found == choices.end())
+        return false;
+    target = found->kind;
+    return true;
+}
+
+const std::array Specs{
+        SettingSpec{"name", "GERANIUMCART_NAME", nullptr, "1 to 64 of A-Z a-z 0-9 . _ -",
+                    "name of this daemon, unique among its peers",
+                    [](Settings &settings, std::string_view text) {
+                        return takeName(settings.name, text);
+                    }},
+        SettingSpec{"zone", "GERANIUMCART_ZONE", nullptr, "1 to 64 of A-Z a-z 0-9 . _ -",
+                    "availability zone of this daemon",
+                    [](Settings &settings, std::string_view text) {
+                        return takeName(settings.zone, text);
+                    }},
+        SettingSpec{"listen", "GERANIUMCART_LISTEN", nullptr,
+                    "IP:port, port 0 to 65535, no wildcard; IPv6 in brackets",
+                    "address where callers connect; port 0 lets the kernel pick",
+                    [](Settings &settings, std::string_view text) {
+                        return takeBound(settings.listen, text);
+                    }},
+        SettingSpec{"peer-listen", "GERANIUMCART_PEER_LISTEN", nullptr,
+                    "IP:port, port 0 to 65535, no wildcard; IPv6 in brackets",
+                    "address where peers connect; port 0 lets the kernel pick",
+                    [](Settings &settings, std::string_view text) {
+                        return takeBound(settings.peerListen, text);
+                    }},
+        SettingSpec{"store", "GERANIUMCART_STORE", nullptr,
+                    "IP:port, port 1 to 65535; IPv6 in brackets", "address of the object store",
+                    [](Settings &settings, std::string_view text) {
+                        settings.store = text;
+                        return isAddress(text, 1);
+                    }},
+        SettingSpec{"seeds", "GERANIUMCART_SEEDS", "", "at most 64 of IP:port, separated by commas",
+                    "peers to join through",
+                    [](Settings &settings, std::string_view text) {
+                        return takeSeeds(settings.seeds, text);
+                    }},
+        SettingSpec{"workers", "GERANIUMCART_WORKERS", "2", "1 to 256",
+                    "threads that handle requests",
+                    [](Settings &settings, std::string_view text) {
+                        return parseNumber<std::uint32_t>(text, 1, 256, settings.workers);
+                    }},
+        SettingSpec{"routing", "GERANIUMCART_ROUTING", "owner", "owner, direct",
+                    "whether a searcher has one owner daemon or every daemon sends to it",
+                    [](Settings &settings, std::string_view text) {
+                        constexpr std::array Choices{
+                                Choice<RoutingMode>{"owner", RoutingMode::Owner},
+                                Choice<RoutingMode>{"direct", RoutingMode::Direct}};
+                        return takeChoice(settings.routing, text, Choices);
+                    }},
+        SettingSpec{"choice", "GERANIUMCART_CHOICE", "least-loaded", "least-loaded, random",
+                    "how a replica is chosen",
+                    [](Settings &settings, std::string_view text) {
+                        constexpr std::array Choices{
+                                Choice<ReplicaChoiceKind>{"least-loaded",
+                                                          ReplicaChoiceKind::LeastLoaded},
+                                Choice<ReplicaChoiceKind>{"random", ReplicaChoiceKind::Random}};
+                        return takeChoice(settings.choice, text, Choices);
+                    }},
+        SettingSpec{"hedging", "GERANIUMCART_HEDGING", "quantile", "quantile, none",
+                    "when a straggling shard is hedged",
+                    [](Settings &settings, std::string_view text) {
+                        constexpr std::array Choices{
+                                Choice<HedgingKind>{"quantile", HedgingKind::Quantile},
+                                Choice<HedgingKind>{"none", HedgingKind::None}};
+                        return takeChoice(settings.hedging, text, Choices);
+                    }},
+        SettingSpec{"admission", "GERANIUMCART_ADMISSION", "weighted", "weighted, unlimited",
+                    "how callers' requests are admitted",
+                    [](Settings &settings, std::string_view text) {
+                        constexpr std::array Choices{
+                                Choice<AdmissionKind>{"weighted", AdmissionKind::Weighted},
+                                Choice<AdmissionKind>{"unlimited", AdmissionKind::Unlimited}};
+                        return takeChoice(settings.admission, text, Choices);
+                    }},
+        SettingSpec{"hedge-share", "GERANIUMCART_HEDGE_SHARE", "0.05", "0 to 1",
+                    "share of first attempts that may be hedged",
+                    [](Settings &settings, std::string_view text) {
+                        return parseNumber<double>(text, 0, 1, settings.hedgeShare);
+                    }},
+        SettingSpec{"retry-share", "GERANIUMCART_RETRY_SHARE", "0.2", "0 to 1",
+                    "share of first attempts that may be retried",
+                    [](Settings &settings, std::string_view text) {
+                        return parseNumber<double>(text, 0, 1, settings.retryShare);
+                    }},
+        SettingSpec{"drain", "GERANIUMCART_DRAIN", "3s", "0ms to 600s, with unit ms or s",
+                    "how long a planned stop keeps serving after it left the entries list",
+                    [](Settings &settings, std::string_view text) {
+                        return takeDuration(settings.drain, text, Duration::zero(),
+                                            std::chrono::seconds(600));
+                    }},
+        SettingSpec{"max-connections", "GERANIUMCART_MAX_CONNECTIONS", "10000", "1 to 1000000",
+                    "most callers' connections open at once",
+                    [](Settings &settings, std::string_view text) {
+                        return parseNumber<std::uint32_t>(text, 1, 1'000'000,
+                                                          settings.maxConnections);
+                    }},
+        SettingSpec{"listen-backlog", "GERANIUMCART_LISTEN_BACKLOG", "1024", "1 to 65535",
+                    "connections that the kernel keeps until they are accepted",
+                    [](Settings &settings, std::string_view text) {
+                        return parseNumber<std::uint32_t>(text, 1, 65535, settings.listenBacklog);
+                    }},
+        SettingSpec{"log-level", "GERANIUMCART_LOG_LEVEL", "info",
+                    "trace, debug, info, warn, error", "least severe level that is logged",
+                    [](Settings &settings, std::string_view text) {
+                        settings.logLevel = text;
+                        return parseLogLevel(text).has_value();
+                    }},
+};
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("geraniumcartd",
+                             "Entry daemon of geraniumcart. A flag goes before its environment "
+                             "variable.");
+    options.add_options()("help", "show this text");
+    for (const SettingSpec &spec : Specs) {
+        std::string text =
+                std::string(spec.help) + " (" + spec.accepted + ") [$" + spec.environment + "]";
+        if (spec.fallback && *spec.fallback)
+            text += std::string(" [default: ") + spec.fallback + "]";
+        else if (!spec.fallback)
+            text += " [required]";
+        options.add_options()(spec.flag, text, cxxopts::value<std::vector<std::string>>());
+    }
+    return options;
+}
+
+std::nullopt_t fail(SettingsFailure &failure, SettingsError error, std::string message)
+{
+    failure = {error, std::move(message)};
+    return std::nullopt;
+}
+
+/// cxxopts names the flag in its message only, in its own quotation marks.
+std::string describeMissingValue(const std::string &message)
+{
+    for (const SettingSpec &spec : Specs)
+        if (message.find(cxxopts::LQUOTE + spec.flag + cxxopts::RQUOTE) != std::string::npos)
+            return std::string("--") + spec.flag +
+                   ": '' is not accepted; accepted: " + spec.accepted;
+    return message;
+}
+
+/// Values given for a flag on the command line, in order.
+std::vector<std::string> valuesOf(const cxxopts::ParseResult &parsed, std::string_view flag)
+{
+    std::vector<std::string> values;
+    for (const cxxopts::KeyValue &argument : parsed.arguments())
+        if (argument.key() == flag)
+            values.push_back(argument.value());
+    return values;
+}
+
+} // namespace
+
+std::optional<Settings> parseSettings(int argc, const char *const *argv, SettingsFailure &failure)
+{
+    cxxopts::Options options = makeOptions();
+    cxxopts::ParseResult parsed;
+    try {
+        parsed = options.parse(argc, argv);
+    } catch (const cxxopts::exceptions::missing_argument &error) {
+        return fail(failure, SettingsError::BadValue, describeMissingValue(error.what()));
+    } catch (const cxxopts::exceptions::exception &error) {
+        return fail(failure, SettingsError::UnknownFlag, error.what());
+    }
+    if (parsed.count("help") > 0)
+        return fail(failure, SettingsError::HelpWanted, options.help());
+    if (!parsed.unmatched().empty())
+        return fail(failure, SettingsError::UnknownFlag,
+                    "argument '" + parsed.unmatched().front() + "' is not a flag");
+
+    Settings settings;
+    for (const SettingSpec &spec : Specs) {
+        const std::vector<std::string> given = valuesOf(parsed, spec.flag);
+        std::string source = std::string("--") + spec.flag;
+        if (given.size() > 1)
+            return fail(failure, SettingsError::BadValue, source + " is given more than once");
+        std::string text;
+        if (!given.empty()) {
+            text = given.front();
+        } else if (const char *variable = std::getenv(spec.environment)) {
+            source = spec.environment;
+            text = variable;
+        } else if (spec.fallback) {
+            text = spec.fallback;
+        } else {
+            return fail(failure, SettingsError::Missing,
+                        source + " or " + spec.environment +
+                                " is required; accepted: " + spec.accepted);
+        }
+        if (!spec.apply(settings, text))
+            return fail(failure, SettingsError::BadValue,
+                        source + ": '" + text + "' is not accepted; accepted: " + spec.accepted);
+    }
+    return settings;
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include "process/log_p.h"
+
+#include <geraniumcart/invariants.h>
+
+#include <boost/json.hpp>
+
+#include <cstdio>
+#include <string>
+#include <unistd.h>
+
+using namespace geraniumcart;
+
+namespace {
+
+/// What @p write sends to the process's stderr.
+template <class Write>
+std::string captureStderr(Write write)
+{
+    std::FILE *file = std::tmpfile();
+    REQUIRE(file);
+    const int saved = ::dup(STDERR_FILENO);
+    ::dup2(::fileno(file), STDERR_FILENO);
+    write();
+    ::dup2(saved, STDERR_FILENO);
+    ::close(saved);
+    std::string result(static_cast<std::size_t>(std::ftell(file) >= 0 ? 65536 : 0), '\0');
+    std::rewind(file);
+    result.resize(std::fread(result.data(), 1, result.size(), file));
+    std::fclose(file);
+    return result;
+}
+
+} // namespace
+
+// Guards against log lines that a collector cannot parse.
+TEST_CASE("every log line is one JSON object whatever its fields hold")
+{
+    const auto [failure, fieldValue,
+                logged] = GENERATE(table<const char *, std::string, std::string>({
+            {"plain text is changed", "corte 127.0.0.1:80", "corte 127.0.0.1:80"},
+            {"quotes end the string", "a\"b\\c", "a\"b\\c"},
+            {"a line break splits the line", "a\nb\r\tc", "a?b??c"},
+            {"a control character is passed on", std::string("a\0\x01\x1f\x7f", 5), "a????"},
+            {"broken UTF-8 is passed on", "a\xff\xc3", "a??"},
+            {"an empty field is left out", "", ""},
+    }));
+    INFO(failure);
+
+    const std::string line = captureStderr([&value = fieldValue] {
+        logEvent(LogLevel::Info, "searcherLost", {{"address", value}, {"failures", 3}});
+    });
+    REQUIRE(line.find('\n') == line.size() - 1);
+    boost::system::error_code error;
+    const boost::json::value parsed = boost::json::parse(line, error);
+    REQUIRE_FALSE(error);
+    CHECK(parsed.at("level") == "INFO");
+    CHECK(parsed.at("message") == "searcherLost");
+    CHECK(std::string(parsed.at("context_map").at("address").as_string()) == logged);
+    CHECK(parsed.at("context_map").at("failures") == "3");
+}
+
+// Guards against fields of one event that appear in the next one of the thread.
+TEST_CASE("fields belong to one event")
+{
+    const auto [failure, field] = GENERATE(table<const char *, const char *>({
+            {"a field stays", "address"},
+            {"a field named like one of the layout stays", "message"},
+    }));
+    INFO(failure);
+
+    const std::string lines = captureStderr([name = field] {
+        logEvent(LogLevel::Warn, "first", {{name, "once"}});
+        logEvent(LogLevel::Warn, "second");
+    });
+    CHECK(lines.find("once") != std::string::npos);
+    CHECK(lines.find("once", lines.find("second")) == std::string::npos);
+}
+
+// Guards against a level setting without effect.
+TEST_CASE("events below the level are dropped")
+{
+    const auto [name, level, isLogged] = GENERATE(table<std::string, LogLevel, bool>({
+            {"trace", LogLevel::Trace, true},
+            {"debug", LogLevel::Trace, false},
+            {"info", LogLevel::Info, true},
+            {"warn", LogLevel::Info, false},
+            {"error", LogLevel::Warn, false},
+            {"error", LogLevel::Error, true},
+    }));
+    INFO(name);
+
+    configureLogging(parseLogLevel(name).value());
+    const std::string line = captureStderr([used = level] { logEvent(used, "event"); });
+    configureLogging(LogLevel::Info);
+    CHECK(line.empty() != isLogged);
+}
+
+// Guards against a violated guarantee that production neither logs nor counts, or counts as
+// another.
+TEST_CASE("a violated invariant is logged and counted")
+{
+    const auto [invariant, name] = GENERATE(table<Invariant, const char *>({
+            {Invariant::SingleSnapshot, "singleSnapshot"},
+            {Invariant::TrueCoverage, "trueCoverage"},
+            {Invariant::ColdBound, "coldBound"},
+            {Invariant::ZoneOut, "zoneOut"},
+            {Invariant::BadVersion, "badVersion"},
+            {Invariant::OwnAnswer, "ownAnswer"},
+            {Invariant::TrueNotRun, "trueNotRun"},
+            {Invariant::AtMostOnce, "atMostOnce"},
+            {Invariant::LeavingUpstream, "leavingUpstream"},
+            {Invariant::GracefulStop, "gracefulStop"},
+            {Invariant::ConfigurationMonotonic, "configurationMonotonic"},
+    }));
+    INFO(name);
+
+    abortOnViolation(false);
+    const std::uint64_t before = invariantViolations(invariant);
+    const std::string line = captureStderr([violated = invariant] {
+        checkInvariant(violated, true, "holds");
+        checkInvariant(violated, false, "dispatch into cairo-b");
+    });
+    abortOnViolation(true);
+    CHECK(invariantViolations(invariant) == before + 1);
+    const boost::json::value parsed = boost::json::parse(line);
+    CHECK(parsed.at("message") == "invariantViolated");
+    CHECK(parsed.at("context_map").at("invariant") == name);
+    CHECK(parsed.at("context_map").at("detail") == "dispatch into cairo-b");
+}
