Add the callers' side of the daemon

Callers need an HTTP/1.1 server whose decisions do not depend on its encoding.

FrontEnd decides for each worker what becomes of a call; runs, admission and status come through abstract interfaces. A session handles one request at a time and keeps reading meanwhile, so that it notices a caller that went away; it bounds header, body and time.

toString() of MissingReason and BookingOutcome and Coverage::documentShare() move to files of their own, so that users of an answer do not link the runs.

--- a/include/geraniumcart/snapshot.h
+++ b/include/geraniumcart/snapshot.h
@@ -80,6 +80,9 @@
     bool isComplete = false;
     /// False when this daemon's zone is out or it is leaving.
     bool acceptsNewWork = true;
+    /// While acceptsNewWork is false, callers are still served until this time, so that those whose
+    /// list of entries has not run out are not refused.
+    TimePoint servesUntil{};
 };
 
 class SnapshotPublisher;
--- /dev/null
+++ b/src/connection/caller_listener.cpp
@@ -0,0 +1,181 @@
+#include "connection/caller_listener_p.h"
+
+#include "process/log_p.h"
+
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+namespace geraniumcart {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+std::optional<tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    std::string_view host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    error_code error;
+    const auto address = boost::asio::ip::make_address(std::string(host), error);
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, status] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || status != std::errc() || stop != end)
+        return std::nullopt;
+    return tcp::endpoint(address, port);
+}
+
+} // namespace
+
+CallerListener::CallerListener(WorkerPool &workers, std::vector<FrontEnd *> frontEnds,
+                               CallerListenerOptions options)
+    : m_workers(workers)
+    , m_frontEnds(std::move(frontEnds))
+    , m_options(std::move(options))
+    , m_acceptor(workers.worker(0).context)
+    , m_shares(workers.size())
+{
+}
+
+bool CallerListener::open(std::string &reason)
+{
+    const std::optional<tcp::endpoint> endpoint = parseEndpoint(m_options.address);
+    if (!endpoint) {
+        reason = m_options.address + ": not an IP:port";
+        return false;
+    }
+    error_code error;
+    m_acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(*endpoint, error);
+    if (!error)
+        m_acceptor.listen(static_cast<int>(m_options.backlog), error);
+    if (error) {
+        reason = m_options.address + ": " + error.message();
+        return false;
+    }
+    std::ostringstream bound;
+    bound << m_acceptor.local_endpoint();
+    m_address = bound.str();
+    return true;
+}
+
+void CallerListener::start()
+{
+    boost::asio::post(m_workers.worker(0).context, [this] { accept(); });
+}
+
+void CallerListener::drain()
+{
+    boost::asio::post(m_workers.worker(0).context, [this] {
+        acceptPending();
+        error_code ignored;
+        m_acceptor.close(ignored);
+        for (std::uint32_t i = 0; i < m_workers.size(); ++i)
+            boost::asio::post(m_workers.worker(i).context, [this, i] {
+                Share &share = m_shares[i];
+                share.isDraining = true;
+                for (const std::shared_ptr<CallerSession> &session : share.sessions)
+                    session->drain();
+            });
+    });
+}
+
+void CallerListener::accept()
+{
+    if (!m_acceptor.is_open())
+        return;
+    if (m_open.load(std::memory_order_acquire) >= m_options.maxConnections) {
+        m_isPaused = true;
+        // A connection may have closed between the comparison and the pause; without this second
+        // look its wake-up would be missed.
+        if (m_open.load(std::memory_order_acquire) >= m_options.maxConnections)
+            return;
+        m_isPaused = false;
+    }
+    Worker &worker = nextWorker();
+    m_acceptor.async_accept(worker.context, [this, &worker](error_code error, Socket socket) {
+        onAccepted(error, worker, std::move(socket));
+    });
+}
+
+void CallerListener::onAccepted(error_code error, Worker &worker, Socket socket)
+{
+    if (error == boost::asio::error::operation_aborted)
+        return;
+    if (error) {
+        logEvent(LogLevel::Warn, "acceptFailed", {{"reason", error.message()}});
+        m_workers.worker(0).timers.schedule(AcceptRetryDelay, [this] { accept(); });
+        return;
+    }
+    addSession(worker, std::move(socket));
+    accept();
+}
+
+void CallerListener::resume()
+{
+    if (std::exchange(m_isPaused, false))
+        accept();
+}
+
+void CallerListener::acceptPending()
+{
+    if (!m_acceptor.is_open())
+        return;
+    error_code error;
+    m_acceptor.cancel(error);
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        Worker &worker = nextWorker();
+        Socket socket(worker.context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            addSession(worker, std::move(socket));
+    }
+}
+
+Worker &CallerListener::nextWorker()
+{
+    m_nextWorker = (m_nextWorker + 1) % m_workers.size();
+    return m_workers.worker(m_nextWorker);
+}
+
+void CallerListener::addSession(Worker &worker, Socket socket)
+{
+    m_open.fetch_add(1, std::memory_order_acq_rel);
+    boost::asio::post(worker.context, [this, &worker, socket = std::move(socket)]() mutable {
+        startSession(worker, std::move(socket));
+    });
+}
+
+void CallerListener::startSession(Worker &worker, Socket socket)
+{
+    Share &share = m_shares[worker.index];
+    auto session = std::make_shared<CallerSession>(
+            std::move(socket), worker.timers, *m_frontEnds[worker.index], m_options.limits,
+            [this, &worker](CallerSession &closed) { onSessionClosed(worker, closed); });
+    share.sessions.insert(session);
+    session->start();
+    if (share.isDraining)
+        session->drain();
+}
+
+void CallerListener::onSessionClosed(Worker &worker, CallerSession &session)
+{
+    m_shares[worker.index].sessions.erase(session.shared_from_this());
+    const std::uint32_t previous = m_open.fetch_sub(1, std::memory_order_acq_rel);
+    if (previous >= m_options.maxConnections)
+        boost::asio::post(m_workers.worker(0).context, [this] { resume(); });
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/connection/caller_session.cpp
@@ -0,0 +1,325 @@
+#include "connection/caller_session_p.h"
+
+#include <geraniumcart/invariants.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::string_view ContinueMessage = "HTTP/1.1 100 Continue\r\n\r\n";
+
+Refusal makeRefusal(RefusalKind kind, std::string reason)
+{
+    return {kind, std::move(reason), true, std::nullopt};
+}
+
+} // namespace
+
+CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, TimerService &timers,
+                             FrontEnd &frontEnd, const CallerLimits &limits,
+                             ClosedCallback onClosed)
+    : m_socket(std::move(socket))
+    , m_timers(timers)
+    , m_frontEnd(frontEnd)
+    , m_limits(limits)
+    , m_onClosed(std::move(onClosed))
+{
+}
+
+void CallerSession::start()
+{
+    error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    awaitRequest();
+}
+
+void CallerSession::drain()
+{
+    m_isDraining = true;
+    if (m_state == State::Idle)
+        arm(m_limits.drainGrace);
+}
+
+void CallerSession::readMore()
+{
+    if (m_isReadPending || m_hasReadEnded)
+        return;
+    m_isReadPending = true;
+    m_socket.async_read_some(boost::asio::buffer(m_incoming),
+                             [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                 self->onRead(error, bytes);
+                             });
+}
+
+void CallerSession::onRead(error_code error, std::size_t bytes)
+{
+    m_isReadPending = false;
+    if (m_state == State::Closed)
+        return;
+    if (error) {
+        onReadEnd(error);
+        return;
+    }
+    if (m_state == State::Lingering) {
+        readMore();
+        return;
+    }
+    const auto target = m_buffer.prepare(bytes);
+    std::copy_n(m_incoming.data(), bytes, static_cast<char *>(target.data()));
+    m_buffer.commit(bytes);
+    m_chunks.push_back({bytes, m_timers.now()});
+    if (m_state == State::Idle || m_state == State::Reading)
+        parse();
+    else if (m_buffer.size() < m_limits.headerBytes)
+        readMore();
+}
+
+void CallerSession::onReadEnd(error_code error)
+{
+    m_hasReadEnded = true;
+    // An answer under way still reaches a caller that only ended its sending side.
+    if (m_state == State::Writing && error == boost::asio::error::eof)
+        return;
+    if (m_state == State::Running)
+        m_frontEnd.abandon(std::exchange(m_call, 0));
+    close();
+}
+
+void CallerSession::awaitRequest()
+{
+    if (m_hasReadEnded) {
+        close();
+        return;
+    }
+    m_state = State::Idle;
+    m_isHeaderSeen = false;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    m_parser->body_limit(m_limits.bodyBytes);
+    m_parser->eager(true);
+    if (m_buffer.size() > 0) {
+        parse();
+        return;
+    }
+    arm(m_isDraining ? m_limits.drainGrace : m_limits.idleTimeout);
+    readMore();
+}
+
+void CallerSession::parse()
+{
+    if (m_state == State::Idle) {
+        m_state = State::Reading;
+        m_arrival = m_chunks.front().arrival;
+        arm(m_limits.readTimeout);
+    }
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        error_code error;
+        const std::size_t used = m_parser->put(m_buffer.cdata(), error);
+        consume(used);
+        if (error == http::error::need_more)
+            break;
+        if (error) {
+            refuseUnparsed(error);
+            return;
+        }
+    }
+    if (m_parser->is_header_done() && !std::exchange(m_isHeaderSeen, true))
+        onHeader();
+    if (!m_parser->is_done())
+        readMore();
+    else if (!m_isContinuing)
+        dispatch();
+}
+
+void CallerSession::onHeader()
+{
+    const auto expected = m_parser->get().find(http::field::expect);
+    if (!m_parser->is_done() && expected != m_parser->get().end() &&
+        boost::beast::iequals(expected->value(), "100-continue"))
+        sendContinue();
+}
+
+void CallerSession::sendContinue()
+{
+    m_isContinuing = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(ContinueMessage),
+                             [self = shared_from_this()](error_code error, std::size_t) {
+                                 self->m_isContinuing = false;
+                                 if (self->m_state == State::Closed)
+                                     return;
+                                 if (error)
+                                     self->close();
+                                 else if (self->m_response)
+                                     self->write();
+                                 else if (self->m_parser->is_done())
+                                     self->dispatch();
+                             });
+}
+
+void CallerSession::refuseUnparsed(error_code error)
+{
+    // Where the next request would start is unknown, so the connection cannot be kept.
+    m_framing = {};
+    m_framing.keepAlive = false;
+    if (error == http::error::header_limit)
+        respond({makeRefusal(RefusalKind::HeaderTooLarge,
+                             "the header is longer than " + std::to_string(m_limits.headerBytes) +
+                                     " bytes")});
+    else if (error == http::error::body_limit)
+        respond({makeRefusal(RefusalKind::BodyTooLarge, "the body is longer than " +
+                                                                std::to_string(m_limits.bodyBytes) +
+                                                                " bytes")});
+    else
+        respond({makeRefusal(RefusalKind::BadRequest, "malformed request: " + error.message())});
+}
+
+void CallerSession::dispatch()
+{
+    disarm();
+    m_state = State::Running;
+    const std::uint64_t sequence = ++m_sequence;
+    auto decoded = decodeCallerRequest(m_parser->release(), m_arrival, m_framing);
+    if (auto *refusal = std::get_if<Refusal>(&decoded)) {
+        respond({std::move(*refusal)});
+        return;
+    }
+    const CallId call =
+            m_frontEnd.handle(std::get<CallerRequest>(std::move(decoded)),
+                              [weak = weak_from_this(), sequence](const CallerResponse &response) {
+                                  if (const auto self = weak.lock())
+                                      self->onAnswer(sequence, response);
+                              });
+    if (m_state == State::Running)
+        m_call = call;
+    readMore();
+}
+
+void CallerSession::onAnswer(std::uint64_t sequence, const CallerResponse &response)
+{
+    if (m_state == State::Closed)
+        return;
+    if (!checkInvariant(Invariant::OwnAnswer, m_state == State::Running && sequence == m_sequence,
+                        "an answer came for another request than the one that runs"))
+        return;
+    m_call = 0;
+    respond(response);
+}
+
+void CallerSession::respond(const CallerResponse &response)
+{
+    m_state = State::Writing;
+    if (m_isDraining || response.shouldClose)
+        m_framing.keepAlive = false;
+    m_response = encodeCallerResponse(response, m_framing);
+    arm(m_limits.writeTimeout);
+    if (!m_isContinuing)
+        write();
+}
+
+void CallerSession::write()
+{
+    http::async_write(
+            m_socket, *m_response,
+            [self = shared_from_this()](error_code error, std::size_t) { self->onWritten(error); });
+}
+
+void CallerSession::onWritten(error_code error)
+{
+    m_response.reset();
+    if (m_state == State::Closed)
+        return;
+    if (error)
+        close();
+    else if (!m_framing.keepAlive)
+        linger();
+    else
+        awaitRequest();
+}
+
+void CallerSession::linger()
+{
+    if (m_hasReadEnded) {
+        close();
+        return;
+    }
+    m_state = State::Lingering;
+    error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    arm(m_limits.lingerTimeout);
+    readMore();
+}
+
+void CallerSession::close()
+{
+    if (std::exchange(m_state, State::Closed) == State::Closed)
+        return;
+    disarm();
+    error_code ignored;
+    m_socket.close(ignored);
+    m_onClosed(*this);
+}
+
+void CallerSession::consume(std::size_t bytes)
+{
+    m_buffer.consume(bytes);
+    while (bytes > 0) {
+        Chunk &oldest = m_chunks.front();
+        const std::size_t taken = std::min(bytes, oldest.bytes);
+        oldest.bytes -= taken;
+        bytes -= taken;
+        if (oldest.bytes == 0)
+            m_chunks.pop_front();
+    }
+}
+
+void CallerSession::arm(Duration delay)
+{
+    disarm();
+    m_timer = m_timers.schedule(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onTimeout();
+    });
+}
+
+void CallerSession::disarm()
+{
+    if (m_timer != 0)
+        m_timers.cancel(std::exchange(m_timer, 0));
+}
+
+void CallerSession::onTimeout()
+{
+    m_timer = 0;
+    switch (m_state) {
+    case State::Idle:
+        linger();
+        return;
+    case State::Reading:
+        m_framing = {};
+        m_framing.keepAlive = false;
+        respond({makeRefusal(RefusalKind::RequestTimeout, "the request did not end in time")});
+        return;
+    case State::Writing:
+    case State::Lingering:
+        close();
+        return;
+    case State::Running:
+    case State::Closed:
+        return;
+    }
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/front_end.cpp
@@ -0,0 +1,337 @@
+#include <geraniumcart/front_end.h>
+#include <geraniumcart/invariants.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+Refusal makeRefusal(RefusalKind kind, std::string reason)
+{
+    return {kind, std::move(reason), true, std::nullopt};
+}
+
+std::optional<Refusal> refusalOf(AdmissionVerdict verdict, const std::string &tenant)
+{
+    switch (verdict) {
+    case AdmissionVerdict::Admitted:
+        return std::nullopt;
+    case AdmissionVerdict::RateLimited:
+        return makeRefusal(RefusalKind::RateLimited,
+                           "tenant " + tenant + " is over its rate limit");
+    case AdmissionVerdict::Overloaded:
+        return makeRefusal(RefusalKind::Overloaded, "the service is overloaded");
+    case AdmissionVerdict::DeadlinePassed:
+        return makeRefusal(RefusalKind::DeadlinePassed, "the deadline passed in the queue");
+    }
+    return makeRefusal(RefusalKind::Overloaded, "the service is overloaded");
+}
+
+/// The refusal that a search's end demands, if any.
+std::optional<Refusal> refusalOf(const SearchOutcome &outcome)
+{
+    const bool isNotRun = outcome.subRequests == 0;
+    switch (outcome.status) {
+    case SearchStatus::Answered:
+        return std::nullopt;
+    case SearchStatus::BelowMinCoverage:
+        return Refusal{RefusalKind::BelowMinCoverage, "coverage is below the requested minimum",
+                       isNotRun, outcome.coverage};
+    case SearchStatus::NoIndex:
+        return Refusal{RefusalKind::NotReady, "no index version of the service is known", isNotRun,
+                       std::nullopt};
+    case SearchStatus::DeadlinePassed:
+        return Refusal{RefusalKind::DeadlinePassed, "the deadline passed", isNotRun, std::nullopt};
+    }
+    return std::nullopt;
+}
+
+bool isCoverageAccurate(const SearchOutcome &outcome)
+{
+    const Coverage &coverage = outcome.coverage;
+    return outcome.results.size() == coverage.shardsAnswered &&
+           outcome.results.size() + outcome.missing.size() == coverage.shardsTotal &&
+           coverage.documentsSearched <= coverage.documentsTotal;
+}
+
+bool lackedCapacity(const SearchOutcome &outcome)
+{
+    return std::ranges::any_of(outcome.missing, [](const MissingShard &shard) {
+        return shard.reason == MissingReason::NoCapacity;
+    });
+}
+
+} // namespace
+
+const char *toString(RefusalKind kind)
+{
+    switch (kind) {
+    case RefusalKind::BadRequest:
+        return "badRequest";
+    case RefusalKind::UnknownPath:
+        return "unknownPath";
+    case RefusalKind::UnknownService:
+        return "unknownService";
+    case RefusalKind::MethodNotAllowed:
+        return "methodNotAllowed";
+    case RefusalKind::RequestTimeout:
+        return "requestTimeout";
+    case RefusalKind::BodyTooLarge:
+        return "bodyTooLarge";
+    case RefusalKind::HeaderTooLarge:
+        return "headerTooLarge";
+    case RefusalKind::RateLimited:
+        return "rateLimited";
+    case RefusalKind::Overloaded:
+        return "overloaded";
+    case RefusalKind::NotAccepting:
+        return "notAccepting";
+    case RefusalKind::NotReady:
+        return "notReady";
+    case RefusalKind::DeadlinePassed:
+        return "deadlinePassed";
+    case RefusalKind::BelowMinCoverage:
+        return "belowMinCoverage";
+    }
+    return "unknown";
+}
+
+const char *toString(RuleState state)
+{
+    switch (state) {
+    case RuleState::InProgress:
+        return "in progress";
+    case RuleState::Done:
+        return "done";
+    case RuleState::TakenBack:
+        return "taken back";
+    }
+    return "unknown";
+}
+
+CallId FrontEnd::handle(CallerRequest request, Callback done)
+{
+    const CallId id = ++m_lastId;
+    m_running.fetch_add(1, std::memory_order_relaxed);
+    Call &call = m_calls[id];
+    call.request = std::move(request);
+    call.done = std::move(done);
+
+    const SnapshotPin pin = m_context.snapshots.pin();
+    switch (call.request.call) {
+    case CallKind::Search:
+        m_context.stats.add(Counter::Searches);
+        break;
+    case CallKind::Book:
+        m_context.stats.add(Counter::Bookings);
+        break;
+    case CallKind::Entries:
+        answer(id, EntriesAnswer{pin->entries, EntriesValidFor});
+        return id;
+    case CallKind::Status:
+        answer(id, status());
+        return id;
+    case CallKind::Limits:
+        m_context.admission.report([this, id](std::vector<ServiceLimits> services) {
+            answer(id, LimitsAnswer{std::move(services)});
+        });
+        return id;
+    case CallKind::Health:
+        answer(id, TextAnswer{"ok\n"});
+        return id;
+    case CallKind::Ready: {
+        const bool isReady = pin->isComplete && pin->acceptsNewWork;
+        const char *text = isReady ? "ready\n"
+                           : pin->isComplete
+                                   ? "not ready: the daemon is leaving or its zone is out\n"
+                                   : "not ready: rules, catalog or hosts are not known yet\n";
+        answer(id, TextAnswer{text, TextKind::Plain, isReady});
+        return id;
+    }
+    case CallKind::Metrics:
+        answer(id, TextAnswer{m_context.stats.prometheusText(), TextKind::Prometheus});
+        return id;
+    }
+
+    if (std::optional<Refusal> refusal = refusalOf(call, *pin)) {
+        refuse(id, std::move(*refusal));
+        return id;
+    }
+    // The callback may come before admit() returns and end the call, so the arguments are copies.
+    const std::string service = call.request.service;
+    m_context.admission.admit(service,
+                              {call.request.tenant, call.request.className, call.request.deadline},
+                              [this, id](AdmissionVerdict verdict) { onVerdict(id, verdict); });
+    return id;
+}
+
+void FrontEnd::abandon(CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    Call &call = found->second;
+    call.done = nullptr;
+    if (!call.search)
+        return;
+    call.search->abandon();
+    finishAdmission(call, false);
+    answer(id, Refusal{});
+}
+
+std::optional<Refusal> FrontEnd::refusalOf(const Call &call, const RoutingSnapshot &snapshot) const
+{
+    const TimePoint now = m_context.timers.now();
+    if (now >= call.request.deadline)
+        return makeRefusal(RefusalKind::DeadlinePassed, "the deadline passed before the start");
+    if (!snapshot.acceptsNewWork && now >= snapshot.servesUntil)
+        return makeRefusal(RefusalKind::NotAccepting, "the daemon is leaving or its zone is out");
+    if (!snapshot.services.contains(call.request.service)) {
+        if (!snapshot.isComplete)
+            return makeRefusal(RefusalKind::NotReady, "rules, catalog or hosts are not known yet");
+        return makeRefusal(RefusalKind::UnknownService,
+                           "no service is named " + call.request.service);
+    }
+    return std::nullopt;
+}
+
+void FrontEnd::onVerdict(CallId id, AdmissionVerdict verdict)
+{
+    Call &call = m_calls.at(id);
+    if (std::optional<Refusal> refusal = geraniumcart::refusalOf(verdict, call.request.tenant)) {
+        refuse(id, std::move(*refusal));
+        return;
+    }
+    call.admittedAt = m_context.timers.now();
+    if (!call.done) {
+        finishAdmission(call, false);
+        answer(id, Refusal{});
+        return;
+    }
+    // Pinned after the wait for admission, so that a zone taken out meanwhile gets no work.
+    SnapshotPin pin = m_context.snapshots.pin();
+    if (std::optional<Refusal> refusal = refusalOf(call, *pin)) {
+        finishAdmission(call, false);
+        refuse(id, std::move(*refusal));
+        return;
+    }
+    if (call.request.call == CallKind::Search)
+        startSearch(id, call, std::move(pin));
+    else
+        startBooking(id, call, std::move(pin));
+}
+
+void FrontEnd::startSearch(CallId id, Call &call, SnapshotPin snapshot)
+{
+    SearchQuery query{call.request.service, call.request.deadline, call.request.body,
+                      call.request.minCoverage};
+    call.search = m_context.runs.createSearch(
+            std::move(snapshot), std::move(query),
+            [this, id](SearchOutcome outcome) { onSearchDone(id, std::move(outcome)); });
+    call.search->start();
+}
+
+void FrontEnd::startBooking(CallId id, Call &call, SnapshotPin snapshot)
+{
+    BookingRequest request;
+    request.service = call.request.service;
+    request.tenant = call.request.tenant;
+    request.routeKey = call.request.routeKey;
+    // Without a route key, a repeat with the same key or body still goes to the same shard.
+    if (request.routeKey.empty())
+        request.routeKey = call.request.idempotencyKey;
+    if (request.routeKey.empty() && call.request.body)
+        request.routeKey = *call.request.body;
+    request.idempotencyKey = call.request.idempotencyKey;
+    request.deadline = call.request.deadline;
+    request.body = call.request.body;
+    call.booking = m_context.runs.createBooking(
+            std::move(snapshot), std::move(request),
+            [this, id](BookingResult result) { onBookingDone(id, std::move(result)); });
+    // Held here, since start() may end the call.
+    const std::shared_ptr<BookingRun> run = call.booking;
+    run->start();
+}
+
+void FrontEnd::onSearchDone(CallId id, SearchOutcome outcome)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const Call &call = found->second;
+    finishAdmission(call, lackedCapacity(outcome));
+    if (std::optional<Refusal> refusal = geraniumcart::refusalOf(outcome)) {
+        refuse(id, std::move(*refusal));
+        return;
+    }
+    checkInvariant(Invariant::TrueCoverage, isCoverageAccurate(outcome),
+                   "a search answer's coverage differs from its results and missing shards");
+    m_context.stats.add(outcome.coverage.isComplete() ? Counter::SearchesComplete
+                                                      : Counter::SearchesPartial);
+    m_context.stats.recordRequest(call.request.tenant, call.request.className,
+                                  m_context.timers.now() - call.request.arrival,
+                                  outcome.coverage.documentShare());
+    answer(id, std::move(outcome));
+}
+
+void FrontEnd::onBookingDone(CallId id, BookingResult result)
+{
+    const Call &call = m_calls.at(id);
+    finishAdmission(call, false);
+    switch (result.outcome) {
+    case BookingOutcome::Done:
+        m_context.stats.add(Counter::BookingsDone);
+        m_context.stats.recordRequest(call.request.tenant, call.request.className,
+                                      m_context.timers.now() - call.request.arrival, 1);
+        break;
+    case BookingOutcome::NotRun:
+        m_context.stats.add(Counter::BookingsNotRun);
+        break;
+    case BookingOutcome::Unknown:
+        m_context.stats.add(Counter::BookingsUnknown);
+        break;
+    }
+    answer(id, std::move(result));
+}
+
+void FrontEnd::finishAdmission(const Call &call, bool wasOverloaded)
+{
+    m_context.admission.finish(call.request.service,
+                               m_context.timers.now() - call.admittedAt.value(), wasOverloaded);
+}
+
+void FrontEnd::refuse(CallId id, Refusal refusal)
+{
+    const Call &call = m_calls.at(id);
+    m_context.stats.add(call.request.call == CallKind::Search ? Counter::SearchesRefused
+                                                              : Counter::BookingsNotRun);
+    if (refusal.kind == RefusalKind::RateLimited)
+        m_context.stats.add(Counter::RateLimited);
+    if (refusal.kind == RefusalKind::Overloaded)
+        m_context.stats.add(Counter::Overloaded);
+    checkInvariant(Invariant::TrueNotRun, !refusal.isNotRun || !call.booking,
+                   "a booking that was started is refused as not run");
+    answer(id, std::move(refusal));
+}
+
+void FrontEnd::answer(CallId id, CallerAnswer answer)
+{
+    auto call = m_calls.extract(id);
+    if (call.empty()) {
+        checkInvariant(Invariant::OwnAnswer, false, "a call was answered twice");
+        return;
+    }
+    if (call.mapped().done)
+        call.mapped().done({std::move(answer), !m_context.snapshots.pin()->acceptsNewWork});
+    m_running.fetch_sub(1, std::memory_order_release);
+}
+
+StatusAnswer FrontEnd::status() const
+{
+    const SnapshotPin pin = m_context.snapshots.pin();
+    return {pin->rulesVersion, pin->isComplete && pin->acceptsNewWork, m_context.status.status()};
+}
+
+} // namespace geraniumcart
--- a/src/request/booking_run.cpp
+++ b/src/request/booking_run.cpp
@@ -296,19 +296,6 @@
 
 } // namespace
 
-const char *toString(BookingOutcome outcome)
-{
-    switch (outcome) {
-    case BookingOutcome::Done:
-        return "done";
-    case BookingOutcome::NotRun:
-        return "notRun";
-    case BookingOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 std::shared_ptr<BookingRun> BookingRun::create(BookingContext context, SnapshotPin snapshot,
                                                BookingRequest request, Callback done)
 {
--- a/src/request/search_run.cpp
+++ b/src/request/search_run.cpp
@@ -432,32 +432,6 @@
 
 } // namespace
 
-const char *toString(MissingReason reason)
-{
-    switch (reason) {
-    case MissingReason::NoReplica:
-        return "noReplica";
-    case MissingReason::NoCapacity:
-        return "noCapacity";
-    case MissingReason::TimedOut:
-        return "timedOut";
-    case MissingReason::Failed:
-        return "failed";
-    case MissingReason::WrongVersion:
-        return "wrongVersion";
-    case MissingReason::ConnectionLost:
-        return "connectionLost";
-    }
-    return "unknown";
-}
-
-double Coverage::documentShare() const
-{
-    if (documentsTotal == 0)
-        return 0;
-    return static_cast<double>(documentsSearched) / static_cast<double>(documentsTotal);
-}
-
 SubRequestId reserveSubRequestIds(std::uint32_t count)
 {
     static const SubRequestId Upper = static_cast<SubRequestId>(std::random_device{}()) << 32;
--- /dev/null
+++ b/tests/front_end_fakes.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <geraniumcart/front_end.h>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+namespace geraniumcart::test {
+
+/// What the fake runs do and what was done with them; shared by all workers of a test.
+struct FakeRunLog
+{
+    /// Prepared end of each search; results are replaced by the query's body where echo is set.
+    SearchOutcome outcome;
+    bool echo = true;
+    BookingResult booking{BookingOutcome::Done, "{\"bolt\":7}", "", false};
+    std::atomic<int> searches{0};
+    std::atomic<int> bookings{0};
+    std::atomic<int> abandoned{0};
+};
+
+/// How long a run takes is chosen by its body: "hold" never ends, "slow" takes 200 ms.
+inline std::optional<Duration> runTime(const std::string &body)
+{
+    if (body.find("hold") != std::string::npos)
+        return std::nullopt;
+    return std::chrono::milliseconds(body.find("slow") != std::string::npos ? 200 : 0);
+}
+
+class FakeSearch final : public SearchRun
+{
+public:
+    FakeSearch(TimerService &timers, FakeRunLog &log, SearchQuery query, Callback done)
+        : m_timers(timers)
+        , m_log(log)
+        , m_query(std::move(query))
+        , m_done(std::move(done))
+    {
+    }
+    void start() override
+    {
+        ++m_log.searches;
+        const std::optional<Duration> time = runTime(*m_query.body);
+        if (!time)
+            return;
+        SearchOutcome outcome = m_log.outcome;
+        if (m_log.echo) {
+            outcome.results = {"[" + *m_query.body + "]"};
+            outcome.coverage = {1, 1, 10, 10};
+        }
+        m_timers.schedule(*time, [weak = weak_from_this(), this, outcome] {
+            if (const auto self = weak.lock())
+                m_done(outcome);
+        });
+    }
+    void abandon() override { ++m_log.abandoned; }
+    void onAnswer(SubAnswer) override {}
+    void onFailure(SubRequestId, SubFailure) override {}
+
+private:
+    TimerService &m_timers;
+    FakeRunLog &m_log;
+    SearchQuery m_query;
+    Callback m_done;
+};
+
+class FakeBooking final : public BookingRun
+{
+public:
+    FakeBooking(TimerService &timers, FakeRunLog &log, BookingRequest request, Callback done)
+        : m_timers(timers)
+        , m_log(log)
+        , m_request(std::move(request))
+        , m_done(std::move(done))
+    {
+    }
+    void start() override
+    {
+        ++m_log.bookings;
+        if (const std::optional<Duration> time = runTime(*m_request.body))
+            m_timers.schedule(*time, [weak = weak_from_this(), this] {
+                if (const auto self = weak.lock())
+                    m_done(m_log.booking);
+            });
+    }
+    void onAnswer(SubAnswer) override {}
+    void onFailure(SubRequestId, SubFailure) override {}
+
+private:
+    TimerService &m_timers;
+    FakeRunLog &m_log;
+    BookingRequest m_request;
+    Callback m_done;
+};
+
+class FakeRuns final : public RunFactory
+{
+public:
+    FakeRuns(TimerService &timers, FakeRunLog &log)
+        : m_timers(timers)
+        , m_log(log)
+    {
+    }
+    std::shared_ptr<SearchRun> createSearch(SnapshotPin, SearchQuery query,
+                                            SearchRun::Callback done) override
+    {
+        return std::make_shared<FakeSearch>(m_timers, m_log, std::move(query), std::move(done));
+    }
+    std::shared_ptr<BookingRun> createBooking(SnapshotPin, BookingRequest request,
+                                              BookingRun::Callback done) override
+    {
+        lastBooking = request;
+        return std::make_shared<FakeBooking>(m_timers, m_log, std::move(request), std::move(done));
+    }
+
+    BookingRequest lastBooking;
+
+private:
+    TimerService &m_timers;
+    FakeRunLog &m_log;
+};
+
+/// Gives one prepared verdict, at once or when the test calls release().
+class FakeAdmission final : public AdmissionDirectory
+{
+public:
+    void admit(const std::string &, AdmissionRequest, AdmissionPolicy::Callback done) override
+    {
+        ++admits;
+        if (isQueueing)
+            m_queued.push_back(std::move(done));
+        else
+            done(verdict);
+    }
+    void finish(const std::string &, Duration, bool wasOverloaded) override
+    {
+        ++finishes;
+        overloads += wasOverloaded ? 1 : 0;
+    }
+    void report(ReportCallback done) override { done({{"corte", {}}}); }
+    void release()
+    {
+        for (const AdmissionPolicy::Callback &done : std::exchange(m_queued, {}))
+            done(verdict);
+    }
+
+    AdmissionVerdict verdict = AdmissionVerdict::Admitted;
+    bool isQueueing = false;
+    int admits = 0;
+    int finishes = 0;
+    int overloads = 0;
+
+private:
+    std::vector<AdmissionPolicy::Callback> m_queued;
+};
+
+class FakeStatus final : public StatusSource
+{
+public:
+    ControlStatus status() const override { return value; }
+
+    ControlStatus value;
+};
+
+/// A snapshot that knows the service `corte`.
+inline RoutingSnapshot makeSnapshot(bool isComplete = true)
+{
+    RoutingSnapshot snapshot;
+    snapshot.rulesVersion = 3;
+    snapshot.isComplete = isComplete;
+    if (isComplete) {
+        auto routing = std::make_shared<ServiceRouting>();
+        routing->name = "corte";
+        snapshot.services.emplace("corte", routing);
+        snapshot.entries = {{"127.0.0.1:8080", "cairo-a", 2}};
+    }
+    return snapshot;
+}
+
+} // namespace geraniumcart::test
