Run the whole path: daemon, control part and merged front end

A search and a keyed booking pass from a caller through entry and owner daemons to stand-in searchers; rules reach every daemon by watch and push. One address parser replaces three copies.

--- a/include/geraniumcart/membership.h
+++ b/include/geraniumcart/membership.h
@@ -57,6 +57,8 @@
                GossipExchange &exchange, ChangedCallback changed);
 
     void start();
+    /// Sets where callers connect, once the port is known. Before start().
+    void setAddress(const std::string &address) { m_config.self.address = address; }
     /// Adds peers to join through, as the host list names them.
     void setSeeds(std::vector<std::string> seeds);
 
--- a/include/geraniumcart/settings.h
+++ b/include/geraniumcart/settings.h
@@ -26,6 +26,8 @@
     std::string store;
     /// IP:port of peers to join through.
     std::vector<std::string> seeds;
+    /// Daemons of one cell share the work on its searchers and refuse others as peers.
+    std::string cell = "default";
     std::uint32_t workers = 2;
     RoutingMode routing = RoutingMode::Owner;
     ReplicaChoiceKind choice = ReplicaChoiceKind::LeastLoaded;
@@ -37,6 +39,11 @@
     double retryShare = 0.2;
     /// How long a planned stop keeps serving after it left the entries list.
     Duration drain = std::chrono::seconds(3);
+    /// Most callers' connections open at once; further ones wait in the listen backlog.
+    std::uint32_t maxConnections = 10000;
+    /// Connections that the kernel keeps until they are accepted.
+    std::uint32_t listenBacklog = 1024;
+    /// trace, debug, info, warn or error.
     std::string logLevel = "info";
 };
 
@@ -49,6 +56,9 @@
     std::string message;
 };
 
+/// Reads flags, then the environment, then defaults, and validates every value.
+/// @param argv program name and flags, as main() gets them
+/// @return the settings, or nothing with @p failure filled in
 std::optional<Settings> parseSettings(int argc, const char *const *argv, SettingsFailure &failure);
 
 } // namespace geraniumcart
--- a/include/geraniumcart/snapshot.h
+++ b/include/geraniumcart/snapshot.h
@@ -86,6 +86,9 @@
     bool isComplete = false;
     /// False once callers must no longer come here; see RoutingInputs::refusesNewWork.
     bool acceptsNewWork = true;
+    /// While acceptsNewWork is false, callers are still served until this time, so that those whose
+    /// list of entries has not run out are not refused.
+    TimePoint servesUntil{};
 };
 
 class SnapshotPublisher;
--- /dev/null
+++ b/src/connection/http_client.cpp
@@ -0,0 +1,299 @@
+#include "connection/http_client_p.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+struct HttpClient::Call
+{
+    HttpRequest request;
+    TimePoint deadline;
+    Callback callback;
+    /// Ends the wait for a free connection.
+    asio::steady_timer timer;
+};
+
+/// Connections of one client and the requests that wait for one.
+class HttpClient::Pool : public std::enable_shared_from_this<Pool>
+{
+public:
+    Pool(asio::io_context &context, Tcp::endpoint server, HttpClientLimits limits)
+        : m_context(context)
+        , m_server(std::move(server))
+        , m_limits(limits)
+    {
+    }
+
+    asio::io_context &context() { return m_context; }
+    const Tcp::endpoint &server() const { return m_server; }
+    const HttpClientLimits &limits() const { return m_limits; }
+
+    void submit(std::shared_ptr<Call> call);
+    /// Takes a connection back after a request.
+    void release(const std::shared_ptr<Connection> &connection, bool isUsable);
+    void dropIdle();
+    void close();
+
+private:
+    std::shared_ptr<Connection> takeIdle();
+    void wait(std::shared_ptr<Call> call);
+    void sendNext();
+
+    asio::io_context &m_context;
+    Tcp::endpoint m_server;
+    HttpClientLimits m_limits;
+    std::set<std::shared_ptr<Connection>> m_open;
+    std::vector<std::shared_ptr<Connection>> m_idle;
+    std::deque<std::shared_ptr<Call>> m_waiting;
+};
+
+class HttpClient::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    explicit Connection(const std::shared_ptr<Pool> &pool)
+        : m_pool(pool)
+        , m_server(pool->server())
+        , m_responseBytes(pool->limits().responseBytes)
+        , m_stream(pool->context())
+    {
+    }
+
+    void run(std::shared_ptr<Call> call)
+    {
+        m_call = std::move(call);
+        m_stream.expires_at(m_call->deadline);
+        if (m_isConnected)
+            write();
+        else
+            connect();
+    }
+
+    /// False once the server has closed the connection or sent bytes that nobody asked for.
+    bool isUsable()
+    {
+        std::array<char, 1> byte{};
+        beast::error_code error;
+        m_stream.socket().non_blocking(true, error);
+        m_stream.socket().receive(asio::buffer(byte), Tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    void close()
+    {
+        m_call = nullptr;
+        m_stream.close();
+    }
+
+private:
+    void connect()
+    {
+        m_isReused = false;
+        m_stream.async_connect(m_server, [self = shared_from_this()](beast::error_code error) {
+            if (!self->m_call)
+                return;
+            if (error) {
+                self->finish(HttpFailure::NotSent, {}, error);
+                return;
+            }
+            self->m_isConnected = true;
+            self->m_stream.socket().set_option(Tcp::no_delay(true), error);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        http::async_write(
+                m_stream, m_call->request,
+                [self = shared_from_this()](beast::error_code error, std::size_t written) {
+                    self->onWritten(error, written);
+                });
+    }
+
+    void onWritten(beast::error_code error, std::size_t written)
+    {
+        if (!m_call)
+            return;
+        if (!error) {
+            read();
+        } else if (written > 0) {
+            finish(HttpFailure::ResponseLost, {}, error);
+        } else if (m_isReused && error != beast::error::timeout) {
+            // The server closed the idle connection; nothing of this request was written to it.
+            m_stream.close();
+            m_isConnected = false;
+            connect();
+        } else {
+            finish(HttpFailure::NotSent, {}, error);
+        }
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_responseBytes);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](beast::error_code error, std::size_t) {
+                             if (!self->m_call)
+                                 return;
+                             if (error)
+                                 self->finish(HttpFailure::ResponseLost, {}, error);
+                             else
+                                 self->finish(HttpFailure::None, self->m_parser->release(), error);
+                         });
+    }
+
+    void finish(HttpFailure failure, HttpResponse response, beast::error_code error)
+    {
+        const std::shared_ptr<Call> call = std::exchange(m_call, nullptr);
+        const std::shared_ptr<Pool> pool = m_pool.lock();
+        const bool isKept = !error && response.keep_alive() && m_buffer.size() == 0;
+        m_isReused = true;
+        m_stream.expires_never();
+        if (!isKept)
+            m_stream.close();
+        if (!pool)
+            return;
+        // Connections that share a failed path go silent together, so the idle ones are not
+        // trusted after a request has timed out.
+        if (error == beast::error::timeout)
+            pool->dropIdle();
+        pool->release(shared_from_this(), isKept);
+        call->callback(failure, std::move(response));
+    }
+
+    std::weak_ptr<Pool> m_pool;
+    Tcp::endpoint m_server;
+    std::size_t m_responseBytes;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    /// Absent while idle.
+    std::shared_ptr<Call> m_call;
+    bool m_isConnected = false;
+    /// True from the second request on.
+    bool m_isReused = false;
+};
+
+std::shared_ptr<HttpClient::Connection> HttpClient::Pool::takeIdle()
+{
+    while (!m_idle.empty()) {
+        std::shared_ptr<Connection> connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (connection->isUsable())
+            return connection;
+        connection->close();
+        m_open.erase(connection);
+    }
+    return nullptr;
+}
+
+void HttpClient::Pool::submit(std::shared_ptr<Call> call)
+{
+    std::shared_ptr<Connection> connection = takeIdle();
+    if (!connection && m_open.size() >= m_limits.connections) {
+        wait(std::move(call));
+        return;
+    }
+    if (!connection) {
+        connection = std::make_shared<Connection>(shared_from_this());
+        m_open.insert(connection);
+    }
+    connection->run(std::move(call));
+}
+
+void HttpClient::Pool::wait(std::shared_ptr<Call> call)
+{
+    m_waiting.push_back(call);
+    call->timer.expires_at(call->deadline);
+    call->timer.async_wait([pool = weak_from_this(), call](beast::error_code error) {
+        const std::shared_ptr<Pool> self = pool.lock();
+        // The call may have left the queue when the timer had already fired.
+        if (error || !self || std::erase(self->m_waiting, call) == 0)
+            return;
+        call->callback(HttpFailure::NotSent, {});
+    });
+}
+
+void HttpClient::Pool::sendNext()
+{
+    if (m_waiting.empty())
+        return;
+    const std::shared_ptr<Call> call = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    call->timer.cancel();
+    submit(call);
+}
+
+void HttpClient::Pool::release(const std::shared_ptr<Connection> &connection, bool isUsable)
+{
+    if (isUsable && m_idle.size() < m_limits.idle + m_waiting.size()) {
+        m_idle.push_back(connection);
+    } else {
+        connection->close();
+        m_open.erase(connection);
+    }
+    sendNext();
+}
+
+void HttpClient::Pool::dropIdle()
+{
+    for (const auto &connection : m_idle) {
+        connection->close();
+        m_open.erase(connection);
+    }
+    m_idle.clear();
+}
+
+void HttpClient::Pool::close()
+{
+    for (const auto &connection : m_open)
+        connection->close();
+    m_open.clear();
+    m_idle.clear();
+    for (const auto &call : m_waiting)
+        call->timer.cancel();
+    m_waiting.clear();
+}
+
+HttpClient::HttpClient(asio::io_context &context, Tcp::endpoint server, HttpClientLimits limits)
+    : m_pool(std::make_shared<Pool>(context, std::move(server), limits))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    m_pool->close();
+}
+
+void HttpClient::send(HttpRequest request, Duration limit, Callback callback)
+{
+    std::ostringstream host;
+    host << m_pool->server();
+    request.set(http::field::host, host.str());
+    request.prepare_payload();
+    m_pool->submit(std::make_shared<Call>(
+            Call{std::move(request), std::chrono::steady_clock::now() + limit, std::move(callback),
+                 asio::steady_timer(m_pool->context())}));
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/control.cpp
@@ -0,0 +1,640 @@
+#include "process/control_p.h"
+
+#include "process/log_p.h"
+
+#include <geraniumcart/config.h>
+#include <geraniumcart/invariants.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace geraniumcart {
+
+namespace {
+
+constexpr const char *RulesKey = "rules";
+constexpr const char *HostsKey = "hosts";
+constexpr const char *CatalogPrefix = "catalog/";
+
+/// Daemons of each zone that watch the store. Two survive the loss of one; more would cost the
+/// store a waiting call each.
+constexpr std::size_t WatchersPerZone = 2;
+/// Interval at which served versions and draining are read from upstream states.
+constexpr std::chrono::milliseconds PollInterval{50};
+/// Interval of full reports; changes are sent at once, so this only repairs lost ones.
+constexpr std::chrono::seconds FullReportInterval{5};
+constexpr std::chrono::milliseconds StatusInterval{200};
+/// Interval at which evidence is compared and shares step on.
+constexpr std::chrono::milliseconds RolloutInterval{200};
+/// Interval at which a daemon that lacks configuration asks its peers again.
+constexpr std::chrono::milliseconds AskInterval{250};
+
+bool isPresent(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect ||
+           state == MemberState::Leaving;
+}
+
+bool isSameForRouting(const UpstreamReport &a, const UpstreamReport &b)
+{
+    return a.served == b.served && a.isCold == b.isCold && a.isDraining == b.isDraining;
+}
+
+UpstreamReport reportOf(const UpstreamState &state)
+{
+    return {state.address(),    state.served(),   state.isCold(),
+            state.isDraining(), state.inFlight(), state.latency()};
+}
+
+std::string formatMinute(WallTime time)
+{
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
+    std::tm utc{};
+    gmtime_r(&seconds, &utc);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%MZ", &utc);
+    return text;
+}
+
+RuleState stateOf(MoveState state)
+{
+    switch (state) {
+    case MoveState::InProgress:
+        return RuleState::InProgress;
+    case MoveState::Done:
+        return RuleState::Done;
+    case MoveState::TakenBack:
+        return RuleState::TakenBack;
+    }
+    return RuleState::InProgress;
+}
+
+MembershipConfig membershipConfig(const ControlConfig &config)
+{
+    MembershipConfig membership;
+    membership.self = config.self;
+    membership.seeds = config.seeds;
+    std::erase(membership.seeds, config.self.peerAddress);
+    membership.seed = XXH3_64bits(config.self.name.data(), config.self.name.size());
+    return membership;
+}
+
+} // namespace
+
+Control::Control(ControlContext context, ControlConfig config)
+    : m_context(context)
+    , m_config(std::move(config))
+    , m_replica([this](const StoredObject &object) { onObject(object); })
+    , m_watcher(context.store, context.timers, m_replica)
+    , m_membership(membershipConfig(m_config), context.timers, context.network, *this,
+                   [this] { onMembersChanged(); })
+    , m_rollout({}, context.timers)
+    , m_status(std::make_shared<ControlStatus>())
+{
+    m_startedAt = m_membership.self().incarnation;
+    m_inputs.selfName = m_config.self.name;
+    m_inputs.selfZone = m_config.self.zone;
+    m_inputs.mode = m_config.mode;
+    m_watcher.follow(RulesKey);
+    m_watcher.follow(HostsKey);
+    m_watcher.followPrefix(CatalogPrefix);
+}
+
+void Control::start()
+{
+    m_membership.start();
+    askPeersForEverything();
+    updateWatcher();
+    pollUpstreams();
+    stepRollouts();
+    updateStatus();
+    requestRebuild();
+}
+
+PeerHello Control::hello(PeerPlane plane) const
+{
+    return {m_membership.self(), m_config.cell, plane};
+}
+
+void Control::beginLeaving()
+{
+    logEvent(LogLevel::Info, "leaving");
+    m_membership.announceLeaving();
+}
+
+void Control::refuseNewWork()
+{
+    m_refusesNewWork = true;
+    requestRebuild();
+}
+
+void Control::finishLeaving()
+{
+    m_membership.announceLeft();
+}
+
+// Configuration
+
+void Control::onObject(const StoredObject &object)
+{
+    if (object.key == RulesKey)
+        onRules(object);
+    else if (object.key == HostsKey)
+        onHosts(object);
+    else if (object.key.starts_with(CatalogPrefix))
+        onCatalog(object);
+    if (m_watcher.isActive())
+        pushToPeers(object);
+    requestRebuild();
+}
+
+void Control::onRules(const StoredObject &object)
+{
+    ParseError error;
+    std::optional<RuleSet> rules = parseRules(object.value, error);
+    if (!rules) {
+        // The command line refuses such a file, so only a foreign writer can have stored it. The
+        // rules that were in force stay.
+        logEvent(LogLevel::Error, "rulesRefused",
+                 {{"version", object.version}, {"reason", describe(error)}});
+        return;
+    }
+    checkInvariant(Invariant::ConfigurationMonotonic, object.version > m_inputs.rulesVersion,
+                   "rules went back");
+    m_inputs.rules = std::move(*rules);
+    m_inputs.rulesVersion = object.version;
+    m_inputs.hasRules = true;
+    m_rollout.configure(m_inputs.rules);
+    const bool isOut = m_inputs.rules.isZoneOut(m_config.self.zone);
+    if (!isOut)
+        m_zoneOutSince.reset();
+    else if (!m_zoneOutSince)
+        m_zoneOutSince = m_context.timers.now();
+    logEvent(LogLevel::Info, "rulesInForce", {{"version", object.version}});
+}
+
+void Control::onHosts(const StoredObject &object)
+{
+    CatalogError error{};
+    std::string field;
+    std::optional<HostList> hosts = parseHostList(object.value, error, field);
+    if (!hosts) {
+        logEvent(LogLevel::Error, "hostsRefused", {{"version", object.version}, {"field", field}});
+        return;
+    }
+    std::vector<std::string> seeds;
+    for (const EntryHost &entry : hosts->entries)
+        if (entry.state == HostState::Live)
+            seeds.push_back(entry.peerAddress);
+    m_membership.setSeeds(std::move(seeds));
+    m_inputs.hosts = std::move(*hosts);
+    m_inputs.hasHosts = true;
+}
+
+void Control::onCatalog(const StoredObject &object)
+{
+    CatalogError error{};
+    std::string field;
+    std::optional<ServiceCatalog> catalog = parseCatalog(object.value, error, field);
+    if (!catalog) {
+        logEvent(LogLevel::Error, "catalogRefused",
+                 {{"key", object.key}, {"version", object.version}, {"field", field}});
+        return;
+    }
+    m_inputs.catalogs[catalog->service] = std::move(*catalog);
+}
+
+void Control::pushToPeers(const StoredObject &object)
+{
+    for (const std::string &peer : presentPeers())
+        m_context.network.send(peer, PeerObjectPush{{object}, false});
+}
+
+void Control::onPull(const std::string &peerAddress, const PeerObjectPull &pull)
+{
+    std::vector<StoredObject> objects =
+            pull.everything ? m_replica.all() : m_replica.newerThan(pull.wanted);
+    // One object a frame: the largest object fits a frame, several might not.
+    for (StoredObject &object : objects)
+        m_context.network.send(peerAddress, PeerObjectPush{{std::move(object)}, false});
+    if (pull.everything && m_inputs.hasRules)
+        m_context.network.send(peerAddress, PeerObjectPush{{}, true});
+}
+
+void Control::onPush(const PeerObjectPush &push)
+{
+    for (const StoredObject &object : push.objects)
+        m_replica.offer(object);
+    if (push.isCompleteCopy)
+        noteRulesKnown();
+}
+
+void Control::noteRulesKnown()
+{
+    // A store without a rules object means that no rule was ever accepted.
+    if (m_inputs.hasRules)
+        return;
+    m_inputs.hasRules = true;
+    requestRebuild();
+}
+
+void Control::askPeersForEverything()
+{
+    if (m_inputs.hasRules && m_inputs.hasHosts && !m_inputs.catalogs.empty())
+        return;
+    std::vector<std::string> peers = presentPeers();
+    if (peers.empty())
+        peers = m_config.seeds;
+    std::erase(peers, m_config.self.peerAddress);
+    for (const std::string &peer : peers)
+        m_context.network.send(peer, PeerObjectPull{{}, true});
+    m_context.timers.schedule(AskInterval, [this] { askPeersForEverything(); });
+}
+
+// Peers
+
+std::vector<std::string> Control::presentPeers() const
+{
+    std::vector<std::string> peers;
+    for (const Member &member : m_membership.members())
+        if (member.name != m_config.self.name && isPresent(member.state))
+            peers.push_back(member.peerAddress);
+    return peers;
+}
+
+void Control::onPeerMessage(const std::string &peerAddress, PeerMessage message)
+{
+    if (const auto *ping = std::get_if<PeerPing>(&message))
+        m_membership.onPing(peerAddress, *ping);
+    else if (const auto *ack = std::get_if<PeerAck>(&message))
+        m_membership.onAck(peerAddress, *ack);
+    else if (const auto *request = std::get_if<PeerPingRequest>(&message))
+        m_membership.onPingRequest(peerAddress, *request);
+    else if (const auto *hello = std::get_if<PeerHello>(&message))
+        m_membership.onHello(*hello);
+    else if (const auto *pull = std::get_if<PeerObjectPull>(&message))
+        onPull(peerAddress, *pull);
+    else if (const auto *push = std::get_if<PeerObjectPush>(&message))
+        onPush(*push);
+    else if (const auto *reports = std::get_if<PeerUpstreamReports>(&message))
+        onReports(*reports);
+}
+
+void Control::fill(Gossip &gossip)
+{
+    gossip.objects = m_replica.versions();
+    gossip.evidence = ownEvidence();
+    gossip.stops = m_rollout.stops();
+}
+
+void Control::take(const std::string &peerAddress, const Gossip &gossip)
+{
+    for (const ObjectVersion &version : gossip.objects)
+        if (version.key == RulesKey)
+            m_peerRules[peerAddress] = version.version;
+    for (const EvidenceRow &row : gossip.evidence)
+        m_rollout.takeEvidence(row);
+    for (const RolloutStop &stop : gossip.stops)
+        m_rollout.takeStop(stop);
+    std::vector<ObjectVersion> stale = m_replica.staleAgainst(gossip.objects);
+    if (!stale.empty())
+        m_context.network.send(peerAddress, PeerObjectPull{std::move(stale), false});
+}
+
+void Control::onMembersChanged()
+{
+    updateWatcher();
+    const std::vector<std::string> peers = presentPeers();
+    for (const std::string &peer : peers)
+        if (std::find(m_knownPeers.begin(), m_knownPeers.end(), peer) == m_knownPeers.end())
+            sendReports(peer, ownReports());
+    m_knownPeers = peers;
+    std::erase_if(m_peerRules, [&](const auto &entry) {
+        return std::find(peers.begin(), peers.end(), entry.first) == peers.end();
+    });
+    requestRebuild();
+}
+
+bool Control::isWatcher() const
+{
+    // Rendezvous: the members of a zone with the lowest hashes watch, so that a change of members
+    // moves few watches.
+    const auto hashOf = [](const std::string &name) {
+        return XXH3_64bits(name.data(), name.size());
+    };
+    const std::uint64_t own = hashOf(m_config.self.name);
+    const std::vector<Member> members = m_membership.members();
+    const auto before = std::count_if(members.begin(), members.end(), [&](const Member &member) {
+        return member.zone == m_config.self.zone && member.state == MemberState::Alive &&
+               hashOf(member.name) < own;
+    });
+    return static_cast<std::size_t>(before) < WatchersPerZone;
+}
+
+void Control::updateWatcher()
+{
+    const bool watches = isWatcher();
+    if (watches != m_watcher.isActive())
+        logEvent(LogLevel::Info, watches ? "watchStarted" : "watchStopped");
+    m_watcher.setActive(watches);
+}
+
+// Upstream states
+
+std::vector<UpstreamReport> Control::ownReports() const
+{
+    std::vector<UpstreamReport> reports;
+    const SnapshotPin snapshot = m_context.snapshots.pin();
+    for (const auto &[name, service] : snapshot->services)
+        for (const Searcher &searcher : service->searchers)
+            if (searcher.owner.empty())
+                reports.push_back(reportOf(*searcher.state));
+    return reports;
+}
+
+void Control::sendReports(const std::string &peerAddress,
+                          const std::vector<UpstreamReport> &reports)
+{
+    if (m_config.mode == RoutingMode::Owner && !reports.empty())
+        m_context.network.send(peerAddress, PeerUpstreamReports{reports});
+}
+
+void Control::onReports(const PeerUpstreamReports &reports)
+{
+    for (const UpstreamReport &report : reports.reports) {
+        UpstreamState *state = m_registry.find(report.address);
+        if (!state)
+            continue;
+        state->setServed(report.served);
+        state->setCold(report.isCold);
+        state->setDraining(report.isDraining);
+    }
+}
+
+void Control::pollUpstreams()
+{
+    const SnapshotPin snapshot = m_context.snapshots.pin();
+    std::vector<UpstreamReport> changed;
+    bool needsRebuild = false;
+    for (const auto &[name, service] : snapshot->services) {
+        for (const Searcher &searcher : service->searchers) {
+            const UpstreamReport report = reportOf(*searcher.state);
+            const auto [place, isNew] = m_lastReports.try_emplace(report.address, report);
+            const bool isChanged = !isNew && !isSameForRouting(place->second, report);
+            if (!isNew && !isChanged)
+                continue;
+            needsRebuild = needsRebuild || place->second.served != report.served ||
+                           place->second.isDraining != report.isDraining || isNew;
+            place->second = report;
+            if (searcher.owner.empty())
+                changed.push_back(report);
+        }
+    }
+    const TimePoint now = m_context.timers.now();
+    const bool isFull = now - m_lastFullReport >= FullReportInterval;
+    if (isFull)
+        m_lastFullReport = now;
+    const std::vector<UpstreamReport> &reports = isFull ? ownReports() : changed;
+    for (const std::string &peer : presentPeers())
+        sendReports(peer, reports);
+    if (m_watcher.hasCaughtUp())
+        noteRulesKnown();
+    if (needsRebuild || isOwnZoneOutForLong() == snapshot->acceptsNewWork)
+        requestRebuild();
+    m_context.timers.schedule(PollInterval, [this] { pollUpstreams(); });
+}
+
+// Moves
+
+bool Control::isServedEverywhere(const std::string &service, const std::string &version) const
+{
+    const SnapshotPin snapshot = m_context.snapshots.pin();
+    const auto found = snapshot->services.find(service);
+    if (found == snapshot->services.end() || !found->second->view)
+        return false;
+    const ServiceRouting &routing = *found->second;
+    for (const std::vector<std::uint32_t> &replicas : routing.view->replicas) {
+        const bool isServed = std::any_of(replicas.begin(), replicas.end(), [&](std::uint32_t i) {
+            return routing.searchers[i].entry.backEndVersion == version;
+        });
+        if (!isServed)
+            return false;
+    }
+    return true;
+}
+
+std::vector<VersionShare> Control::sharesOf(const std::string &service) const
+{
+    std::vector<VersionShare> shares = m_rollout.shares(service);
+    if (shares.empty())
+        return {};
+    // The rest of the traffic goes to the old versions in proportion to their searchers.
+    const VersionShare fresh = shares.front();
+    const double rest = shares.back().share;
+    std::map<std::string, double> searchers;
+    double total = 0;
+    for (const SearcherEntry &entry : m_inputs.hosts.searchers) {
+        if (entry.service != service || entry.backEndVersion == fresh.version)
+            continue;
+        searchers[entry.backEndVersion] += 1;
+        total += 1;
+    }
+    shares = {fresh};
+    for (const auto &[version, count] : searchers)
+        shares.push_back({version, rest * count / total});
+    return shares;
+}
+
+void Control::updateEvidenceCounters()
+{
+    std::erase_if(m_inputs.evidence, [&](const auto &entry) {
+        return m_inputs.rules.moveFor(entry.first) == nullptr;
+    });
+    for (const SearcherEntry &entry : m_inputs.hosts.searchers) {
+        if (!m_inputs.rules.moveFor(entry.service))
+            continue;
+        std::shared_ptr<VersionEvidence> &counters =
+                m_inputs.evidence[entry.service][entry.backEndVersion];
+        if (!counters) {
+            counters = std::make_shared<VersionEvidence>();
+            requestRebuild();
+        }
+    }
+}
+
+std::vector<EvidenceRow> Control::ownEvidence() const
+{
+    std::vector<EvidenceRow> rows;
+    for (const auto &[service, byVersion] : m_inputs.evidence) {
+        for (const auto &[version, counters] : byVersion) {
+            for (const RequestKind route : {RequestKind::Search, RequestKind::Book}) {
+                const AnswerEvidence &counter = counters->routes[static_cast<std::size_t>(route)];
+                EvidenceRow row{m_config.self.name,
+                                m_startedAt,
+                                service,
+                                version,
+                                route,
+                                counter.good(),
+                                counter.bad(),
+                                counter.latencyBuckets()};
+                if (row.good + row.bad > 0)
+                    rows.push_back(std::move(row));
+            }
+        }
+    }
+    return rows;
+}
+
+void Control::stepRollouts()
+{
+    updateEvidenceCounters();
+    for (const EvidenceRow &row : ownEvidence())
+        m_rollout.takeEvidence(row);
+    for (const MoveRule &move : m_inputs.rules.moves)
+        m_rollout.setServedEverywhere(move.service, move.version,
+                                      isServedEverywhere(move.service, move.version));
+    m_rollout.tick();
+    std::map<std::string, std::vector<VersionShare>, std::less<>> shares;
+    for (const MoveRule &move : m_inputs.rules.moves)
+        shares[move.service] = sharesOf(move.service);
+    if (shares != m_inputs.versionShares) {
+        m_inputs.versionShares = std::move(shares);
+        requestRebuild();
+    }
+    m_context.timers.schedule(RolloutInterval, [this] { stepRollouts(); });
+}
+
+// Routing
+
+bool Control::isOwnZoneOutForLong() const
+{
+    return m_refusesNewWork ||
+           (m_zoneOutSince && m_context.timers.now() - *m_zoneOutSince >= EntriesValidFor);
+}
+
+void Control::requestRebuild()
+{
+    if (m_rebuildPosted)
+        return;
+    m_rebuildPosted = true;
+    m_context.timers.schedule(Duration::zero(), [this] {
+        m_rebuildPosted = false;
+        rebuild();
+    });
+}
+
+void Control::rebuild()
+{
+    m_inputs.members = m_membership.members();
+    m_inputs.refusesNewWork = isOwnZoneOutForLong();
+    RoutingSnapshot snapshot = buildSnapshot(m_inputs, m_registry);
+    snapshot.generation = ++m_generation;
+    UpstreamGate::Share share;
+    share.senders = m_config.mode == RoutingMode::Direct ? snapshot.liveMembers : 1;
+    share.isQuarantined = m_config.mode == RoutingMode::Owner && m_membership.isQuarantined();
+    m_context.sink.applyRouting(snapshot, share);
+    m_context.snapshots.publish(std::move(snapshot));
+    m_registry.prune();
+}
+
+// Status
+
+ControlStatus Control::status() const
+{
+    const std::lock_guard lock(m_statusMutex);
+    return *m_status;
+}
+
+bool Control::isInForceEverywhere() const
+{
+    for (const std::string &peer : presentPeers()) {
+        const auto found = m_peerRules.find(peer);
+        if (found == m_peerRules.end() || found->second < m_inputs.rulesVersion)
+            return false;
+    }
+    return true;
+}
+
+bool Control::isZoneIdle(const std::string &zone) const
+{
+    const SnapshotPin snapshot = m_context.snapshots.pin();
+    for (const auto &[name, service] : snapshot->services)
+        for (const Searcher &searcher : service->searchers)
+            if (searcher.entry.zone == zone && searcher.state->inFlight() > 0)
+                return false;
+    return true;
+}
+
+std::vector<std::string> Control::warnings() const
+{
+    std::vector<std::string> warnings;
+    const SnapshotPin snapshot = m_context.snapshots.pin();
+    for (const auto &[name, service] : snapshot->services) {
+        if (!service->view) {
+            warnings.push_back(name + ": no index version is known");
+            continue;
+        }
+        const std::uint32_t shards = service->view->partitions.shardCount();
+        const std::uint32_t missing = shards - service->view->coveredShards;
+        if (missing > 0)
+            warnings.push_back(name + ": " + std::to_string(missing) + " of " +
+                               std::to_string(shards) + " shards have no replica");
+    }
+    if (m_watcher.isActive() && !m_watcher.isStoreReachable())
+        warnings.push_back("the object store does not answer; rules in force stay");
+    return warnings;
+}
+
+void Control::addRuleStatus(ControlStatus &status, const std::string &rule,
+                            const RuleOrigin &origin, RuleState state, const std::string &reason)
+{
+    RuleProgress &progress = m_progress[rule];
+    if (progress.since == WallTime{} || progress.state != state) {
+        progress.since = m_context.timers.wallNow();
+        progress.state = state;
+        logEvent(LogLevel::Info, "ruleState",
+                 {{"rule", rule}, {"state", toString(state)}, {"reason", reason}});
+    }
+    progress.reason = reason;
+    status.rules.push_back({rule, origin.line, state, reason, progress.since});
+}
+
+void Control::updateStatus()
+{
+    auto status = std::make_shared<ControlStatus>();
+    const bool isInForce = isInForceEverywhere();
+    const RuleState spread = isInForce ? RuleState::Done : RuleState::InProgress;
+    const std::string spreadReason =
+            isInForce ? "in force on all members" : "not on all members yet";
+    for (const ZoneRule &zone : m_inputs.rules.zones) {
+        const bool isIdle = isZoneIdle(zone.zone);
+        addRuleStatus(*status, "zone " + zone.zone + " out", zone.origin,
+                      isIdle ? spread : RuleState::InProgress,
+                      isIdle ? spreadReason : "running work ends");
+    }
+    for (const MoveStatus &move : m_rollout.statuses())
+        addRuleStatus(*status,
+                      "move " + move.rule.service + " to " + move.rule.version + " by " +
+                              formatMinute(move.rule.by),
+                      move.rule.origin, stateOf(move.state), move.reason);
+    for (const LimitRule &limit : m_inputs.rules.limits)
+        addRuleStatus(*status, "limit tenant " + limit.tenant, limit.origin, spread, spreadReason);
+    for (const ClassRule &rule : m_inputs.rules.classes)
+        addRuleStatus(*status, "class " + rule.className + " weight " + std::to_string(rule.weight),
+                      rule.origin, spread, spreadReason);
+    std::erase_if(m_progress, [&](const auto &entry) {
+        return std::none_of(status->rules.begin(), status->rules.end(),
+                            [&](const RuleStatus &rule) { return rule.rule == entry.first; });
+    });
+    status->warnings = warnings();
+    for (const Member &member : m_membership.members())
+        status->members.push_back({member.name, member.zone, member.state});
+    {
+        const std::lock_guard lock(m_statusMutex);
+        m_status = std::move(status);
+    }
+    m_context.timers.schedule(StatusInterval, [this] { updateStatus(); });
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/daemon.cpp
@@ -0,0 +1,276 @@
+#include <geraniumcart/daemon.h>
+
+#include "connection/caller_listener_p.h"
+#include "connection/control_network_p.h"
+#include "connection/direct_sender_p.h"
+#include "connection/endpoint_p.h"
+#include "connection/http_object_store_p.h"
+#include "connection/owner_sender_p.h"
+#include "connection/owner_server_p.h"
+#include "connection/peer_listener_p.h"
+#include "process/control_p.h"
+#include "process/evidence_sender_p.h"
+#include "process/log_p.h"
+#include "process/shared_admission_p.h"
+#include "process/worker_pool_p.h"
+#include "process/worker_run_factory_p.h"
+
+#include <geraniumcart/booking.h>
+#include <geraniumcart/config.h>
+#include <geraniumcart/hedging.h>
+#include <geraniumcart/metrics.h>
+#include <geraniumcart/search.h>
+#include <geraniumcart/snapshot.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <random>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Tokens that an idle daemon may save up for hedges or retries.
+constexpr std::uint32_t AttemptReserve = 200;
+/// Interval at which a planned stop looks whether the last requests have ended.
+constexpr std::chrono::milliseconds StopPollInterval{20};
+
+} // namespace
+
+/// What the requests of one worker use.
+struct RequestPart
+{
+    RequestPart(Worker &ownWorker, const asio::ip::tcp::endpoint &storeEndpoint,
+                SubRequestSender &local, const Settings &settings,
+                const PeerLink::HelloSource &hello, AttemptBudget &hedges, AttemptBudget &retries,
+                Stats &stats)
+        : worker(ownWorker)
+        , store(worker.context, storeEndpoint)
+        , claims(makeIdempotencyClaims(store, worker.timers))
+        , choice(makeReplicaChoice(settings.choice, std::random_device{}()))
+        , evidence(worker.timers, local)
+        , sender(worker.context, worker.timers, evidence, hello)
+        , runs({worker.timers, sender, *choice, *claims, hedges, retries, stats, settings.hedging})
+    {
+    }
+
+    Worker &worker;
+    HttpObjectStore store;
+    std::unique_ptr<IdempotencyClaims> claims;
+    std::unique_ptr<ReplicaChoice> choice;
+    EvidenceSender evidence;
+    OwnerSender sender;
+    WorkerRunFactory runs;
+    std::unique_ptr<FrontEnd> frontEnd;
+};
+
+struct Daemon::Parts final : public RoutingSink
+{
+    explicit Parts(Settings daemonSettings);
+    ~Parts() override;
+
+    bool open(std::string &reason);
+    void run();
+    void stop();
+    void applyRouting(const RoutingSnapshot &snapshot, const UpstreamGate::Share &share) override;
+
+private:
+    ControlConfig controlConfig() const;
+    void beginStop();
+    void drainCallers();
+    void awaitLastCall();
+    std::uint32_t runningCalls() const;
+
+    const Settings m_settings;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_keepRunning;
+    AsioTimerService m_timers{m_context};
+    SnapshotPublisher m_snapshots;
+    Stats m_stats;
+    AttemptBudget m_hedgeBudget;
+    AttemptBudget m_retryBudget;
+    WorkerPool m_workers;
+    UpstreamPools m_pools{m_workers};
+    SharedAdmission m_admission;
+    PeerHello m_hello;
+    std::optional<HttpObjectStore> m_store;
+    std::optional<ControlNetwork> m_network;
+    std::optional<Control> m_control;
+    std::optional<PeerListener> m_peerListener;
+    std::vector<std::unique_ptr<RequestPart>> m_requests;
+    std::optional<CallerListener> m_callers;
+    bool m_stopping = false;
+};
+
+Daemon::Parts::Parts(Settings daemonSettings)
+    : m_settings(std::move(daemonSettings))
+    , m_keepRunning(asio::make_work_guard(m_context))
+    , m_hedgeBudget(m_settings.hedgeShare, AttemptReserve)
+    , m_retryBudget(m_settings.retryShare, AttemptReserve)
+    , m_workers(m_settings.workers)
+    , m_admission(m_workers, m_snapshots, [kind = m_settings.admission](TimerService &timers) {
+        return makeAdmissionPolicy(kind, timers);
+    })
+{
+}
+
+Daemon::Parts::~Parts()
+{
+    m_workers.stop();
+}
+
+bool Daemon::Parts::open(std::string &reason)
+{
+    m_peerListener.emplace(
+            m_context, m_workers, m_settings.cell,
+            [this](std::shared_ptr<FrameConnection> connection, const PeerHello &hello) {
+                m_network->adopt(std::move(connection), hello);
+            },
+            [this](Worker &worker, std::shared_ptr<FrameConnection> connection) {
+                std::make_shared<OwnerServer>(worker.context, worker.timers, m_snapshots,
+                                              m_requests[worker.index]->evidence,
+                                              std::move(connection))
+                        ->start();
+            });
+    const auto peerAddress = m_peerListener->open(m_settings.peerListen, reason);
+    const auto storeEndpoint = parseEndpoint(m_settings.store);
+    if (!peerAddress || !storeEndpoint)
+        return false;
+
+    m_hello.self = {m_settings.name,   m_settings.zone, m_settings.listen, *peerAddress, 0,
+                    MemberState::Alive};
+    m_hello.cell = m_settings.cell;
+    m_hello.plane = PeerPlane::Data;
+    std::vector<FrontEnd *> frontEnds;
+    for (std::uint32_t i = 0; i < m_workers.size(); ++i) {
+        m_requests.push_back(std::make_unique<RequestPart>(
+                m_workers.worker(i), *storeEndpoint, m_pools.sender(i), m_settings,
+                [this] { return m_hello; }, m_hedgeBudget, m_retryBudget, m_stats));
+        frontEnds.push_back(nullptr);
+    }
+
+    m_store.emplace(m_context, *storeEndpoint);
+    m_network.emplace(
+            m_context, [this] { return m_control->hello(PeerPlane::Control); },
+            [this](const std::string &peer, PeerMessage message) {
+                m_control->onPeerMessage(peer, std::move(message));
+            });
+    m_control.emplace(ControlContext{m_timers, *m_store, *m_network, m_snapshots, *this},
+                      controlConfig());
+    for (std::uint32_t i = 0; i < m_workers.size(); ++i) {
+        RequestPart &part = *m_requests[i];
+        part.frontEnd = std::make_unique<FrontEnd>(
+                FrontEndContext{part.worker.timers, m_snapshots, part.runs,
+                                m_admission.directory(i), *m_control, m_stats});
+        frontEnds[i] = part.frontEnd.get();
+    }
+    CallerListenerOptions options;
+    options.address = m_settings.listen;
+    m_callers.emplace(m_workers, frontEnds, options);
+    if (!m_callers->open(reason))
+        return false;
+    m_control->setAddress(m_callers->address());
+    return true;
+}
+
+ControlConfig Daemon::Parts::controlConfig() const
+{
+    ControlConfig config;
+    config.self = m_hello.self;
+    config.cell = m_settings.cell;
+    config.seeds = m_settings.seeds;
+    config.mode = m_settings.routing;
+    return config;
+}
+
+void Daemon::Parts::run()
+{
+    logEvent(LogLevel::Info, "started",
+             {{"name", m_settings.name},
+              {"zone", m_settings.zone},
+              {"address", m_callers->address()},
+              {"peerAddress", m_hello.self.peerAddress}});
+    m_control->start();
+    m_workers.start();
+    m_callers->start();
+    m_context.run();
+    m_workers.stop();
+    logEvent(LogLevel::Info, "stopped");
+}
+
+void Daemon::Parts::stop()
+{
+    asio::post(m_context, [this] { beginStop(); });
+}
+
+void Daemon::Parts::beginStop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_control->beginLeaving();
+    m_timers.schedule(m_settings.drain, [this] { drainCallers(); });
+}
+
+void Daemon::Parts::drainCallers()
+{
+    m_control->refuseNewWork();
+    m_callers->drain();
+    awaitLastCall();
+}
+
+std::uint32_t Daemon::Parts::runningCalls() const
+{
+    std::uint32_t running = 0;
+    for (const auto &part : m_requests)
+        running += part->frontEnd->running();
+    return running;
+}
+
+void Daemon::Parts::awaitLastCall()
+{
+    if (runningCalls() > 0 || m_callers->openConnections() > 0) {
+        m_timers.schedule(StopPollInterval, [this] { awaitLastCall(); });
+        return;
+    }
+    m_control->finishLeaving();
+    // The farewell leaves with the next turns of the loop.
+    m_timers.schedule(StopPollInterval, [this] { m_context.stop(); });
+}
+
+void Daemon::Parts::applyRouting(const RoutingSnapshot &snapshot, const UpstreamGate::Share &share)
+{
+    std::vector<UpstreamConfig> searchers;
+    for (const auto &[name, service] : snapshot.services)
+        for (const Searcher &searcher : service->searchers)
+            if (searcher.owner.empty())
+                searchers.push_back({searcher.state, service->limits, share});
+    m_pools.configure(std::move(searchers));
+}
+
+Daemon::Daemon(Settings settings)
+    : m_parts(std::make_unique<Parts>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::open(std::string &reason)
+{
+    return m_parts->open(reason);
+}
+
+void Daemon::run()
+{
+    m_parts->run();
+}
+
+void Daemon::stop()
+{
+    m_parts->stop();
+}
+
+} // namespace geraniumcart
--- a/tools/http_call.h
+++ b/tools/http_call.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "connection/endpoint_p.h"
+
 #include <geraniumcart/timer_service.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -14,9 +16,6 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/// Parses "IP:PORT". @return nothing when @p text is no such address
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
-
 HttpRequest makeRequest(boost::beast::http::verb method, const std::string &target,
                         std::string body = {});
 
