Keep the tools in a namespace of their own

Cause: the tools and the library both defined SearcherCall, SearcherAnswer and parseEndpoint; two definitions of one class in a program are undefined behaviour, and the test program did not link. Change: namespace geraniumcart::tools, and the library's parseEndpoint.

--- a/tools/http_call.cpp
+++ b/tools/http_call.cpp
@@ -1,12 +1,12 @@
 #include "http_call.h"
 
+#include "connection/searcher_connection_p.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <charconv>
-
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -18,20 +18,6 @@
 
 } // namespace
 
-std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    boost::system::error_code code;
-    const auto ip = asio::ip::make_address(std::string(text.substr(0, colon)), code);
-    std::uint16_t port = 0;
-    const auto result = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    if (code || result.ec != std::errc() || result.ptr != text.data() + text.size())
-        return std::nullopt;
-    return asio::ip::tcp::endpoint(ip, port);
-}
-
 HttpRequest makeRequest(http::verb method, const std::string &target, std::string body)
 {
     HttpRequest request(method, target, 11);
@@ -79,4 +65,4 @@
     return parser.release();
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/http_call.h
+++ b/tools/http_call.h
@@ -2,21 +2,16 @@
 
 #include <geraniumcart/timer_service.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
 #include <string>
-#include <string_view>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/// Parses "IP:PORT". @return nothing when @p text is no such address
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
-
 HttpRequest makeRequest(boost::beast::http::verb method, const std::string &target,
                         std::string body = {});
 
@@ -25,4 +20,4 @@
 std::optional<HttpResponse> httpCall(const std::string &address, HttpRequest request,
                                      Duration timeout, std::string &reason);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
