--- a/include/geraniumcart/upstream_gate.h
+++ b/include/geraniumcart/upstream_gate.h
@@ -65,6 +65,8 @@
     bool observeShed(TimePoint now);
 
     bool isCold(TimePoint now) const;
+    /// When the searcher will be warm; max() before its first answer.
+    TimePoint coldUntil() const;
     /// Earliest time at which a cold searcher may get its next request.
     TimePoint nextAllowed(TimePoint now) const;
     /// Most sub-requests in flight that this daemon may hold at the searcher.
--- a/src/connection/searcher_pool.cpp
+++ b/src/connection/searcher_pool.cpp
@@ -17,8 +17,8 @@
 constexpr std::uint32_t SpareConnections = 1;
 /// Most sub-requests that wait for one searcher; beyond it a replica is the better choice.
 constexpr std::size_t MaxWaiting = 256;
-/// Shortest time to the deadline with which a request is sent. The header Deadline-Ms holds whole
-/// milliseconds, and no answer comes back sooner.
+/// A request is sent only with more than this left to its deadline. The header Deadline-Ms holds
+/// whole milliseconds, and no answer comes back sooner.
 constexpr Duration MinRemaining = 1ms;
 constexpr Duration ConnectTimeout = 1s;
 constexpr Duration ConnectBackoffMin = 50ms;
@@ -165,7 +165,7 @@
 bool SearcherPool::tryStart(PoolRequest &request, TimePoint now)
 {
     while (true) {
-        if (request.deadline - now < MinRemaining) {
+        if (request.deadline - now <= MinRemaining) {
             fail(request, SubFailure::NoCapacity);
             return true;
         }
@@ -267,6 +267,11 @@
     }
     link.state = LinkState::Control;
     link.since = now;
+    link.call = call;
+    if (call == UpstreamCall::Info) {
+        m_lastProbe = now;
+        m_context.counters.infoRequests.fetch_add(1, std::memory_order_relaxed);
+    }
     wakeAt(now + ControlTimeout);
     return true;
 }
@@ -275,8 +280,10 @@
 {
     if (m_isRetiring)
         return;
-    if (now - m_lastHeard < ProbeInterval) {
-        wakeAt(m_lastHeard + ProbeInterval);
+    // An unanswered probe is not repeated at once, so that it leaves the connections to work.
+    const TimePoint due = std::max(m_lastHeard, m_lastProbe) + ProbeInterval;
+    if (now < due) {
+        wakeAt(due);
         return;
     }
     wakeAt(now + ProbeInterval);
@@ -320,7 +327,8 @@
     link.hasAnswered = true;
     if (link.state == LinkState::Busy) {
         takeSubAnswer(link, answer, now);
-    } else {
+    } else if (link.call == UpstreamCall::Info) {
+        m_context.counters.infoAnswers.fetch_add(1, std::memory_order_relaxed);
         m_skipsProbe = false;
         observe(answer, now);
     }
@@ -426,10 +434,17 @@
 
 void SearcherPool::noteColdStart(bool wasCold, TimePoint now)
 {
-    const bool isCold = m_gate.isCold(now);
-    if (isCold && !wasCold)
+    if (!wasCold && m_gate.isCold(now))
         m_context.counters.coldStarts.fetch_add(1, std::memory_order_relaxed);
+    publishCold(now);
+}
+
+void SearcherPool::publishCold(TimePoint now)
+{
+    const bool isCold = m_gate.isCold(now);
     m_state->setCold(isCold);
+    if (isCold)
+        wakeAt(m_gate.coldUntil());
 }
 
 void SearcherPool::fail(PoolRequest &request, SubFailure failure)
@@ -484,12 +499,12 @@
 {
     m_wakeAt = TimePoint::max();
     const TimePoint now = m_context.timers.now();
-    while (!m_waiting.empty() && m_waiting.begin()->first - now < MinRemaining) {
+    while (!m_waiting.empty() && m_waiting.begin()->first - now <= MinRemaining) {
         fail(m_waiting.begin()->second, SubFailure::NoCapacity);
         m_waiting.erase(m_waiting.begin());
     }
     checkLinks(now);
-    m_state->setCold(m_gate.isCold(now));
+    publishCold(now);
     proceed(now);
     if (!m_waiting.empty())
         wakeAt(m_waiting.begin()->first - MinRemaining);
--- a/src/connection/searcher_pool_p.h
+++ b/src/connection/searcher_pool_p.h
@@ -27,6 +27,8 @@
     /// Times at which a warm searcher became cold.
     std::atomic<std::uint64_t> coldStarts{0};
     std::atomic<std::uint64_t> malformedAnswers{0};
+    std::atomic<std::uint64_t> infoRequests{0};
+    std::atomic<std::uint64_t> infoAnswers{0};
 };
 
 /// A sub-request on the home worker of its searcher.
@@ -95,6 +97,8 @@
     {
         std::shared_ptr<SearcherConnection> connection;
         LinkState state = LinkState::Connecting;
+        /// What a link in state Control carries.
+        UpstreamCall call = UpstreamCall::Info;
         /// Start of the state.
         TimePoint since{};
         bool hasAnswered = false;
@@ -128,6 +132,7 @@
     void observe(const UpstreamAnswer &answer, TimePoint now);
     void becomeCold(TimePoint now);
     void noteColdStart(bool wasCold, TimePoint now);
+    void publishCold(TimePoint now);
     void fail(PoolRequest &request, SubFailure failure);
     void failWaiting(SubFailure failure);
 
@@ -148,6 +153,7 @@
     std::multimap<TimePoint, PoolRequest> m_waiting;
     std::uint64_t m_answers = 0;
     TimePoint m_lastHeard{};
+    TimePoint m_lastProbe{};
     std::uint32_t m_connectFailures = 0;
     TimePoint m_nextConnect{};
     /// The searcher left GET /info unanswered, so that new connections are used without it.
--- a/src/process/upstream_gate.cpp
+++ b/src/process/upstream_gate.cpp
@@ -36,7 +36,12 @@
 
 bool UpstreamGate::isCold(TimePoint now) const
 {
-    return !m_firstAnswer || now < *m_firstAnswer + m_limits.warmUp;
+    return now < coldUntil();
+}
+
+TimePoint UpstreamGate::coldUntil() const
+{
+    return m_firstAnswer ? *m_firstAnswer + m_limits.warmUp : TimePoint::max();
 }
 
 UpstreamGate::Pace UpstreamGate::coldPace(TimePoint now) const
--- a/tests/tiny_searcher.h
+++ b/tests/tiny_searcher.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,7 +27,6 @@
     NotJson,
     NoHttp,
     TooLong,
-    Late,
     Silent,
     ResetInRequest,
     ResetAfterRequest,
@@ -59,11 +59,29 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    /// Closes all connections, as a restart does.
+    void closeConnections(bool withReset)
+    {
+        boost::asio::post(m_context, [this, withReset] {
+            for (const auto &weak : std::exchange(m_sessions, {})) {
+                if (const SessionPtr session = weak.lock()) {
+                    Error ignored;
+                    if (withReset)
+                        reset(session);
+                    else
+                        session->socket.close(ignored);
+                }
+            }
+        });
+    }
+
     std::atomic<Reaction> reaction;
-    /// Time to Late and Silent answers and to all of them while a test measures concurrency.
+    /// Time that each request takes.
     std::atomic<std::chrono::milliseconds> delay{std::chrono::milliseconds(0)};
     std::atomic<int> bootId{1};
     std::atomic<bool> answersInfo{true};
+    /// What GET /info says.
+    std::atomic<bool> isDraining{false};
     std::atomic<int> requests{0};
     std::atomic<int> running{0};
     std::atomic<int> mostRunning{0};
@@ -97,7 +115,9 @@
             if (error)
                 return;
             ++connections;
-            read(std::make_shared<Session>(std::move(socket)));
+            const auto session = std::make_shared<Session>(std::move(socket));
+            m_sessions.push_back(session);
+            read(session);
             accept();
         });
     }
@@ -140,8 +160,10 @@
         if (!isPost(session)) {
             const bool isInfo = session->parser->get().target() == "/info";
             ++(isInfo ? infos : cancels);
-            if (!isInfo || answersInfo)
-                write(session, answer("200 OK", "", "{}"));
+            if (isInfo && !answersInfo)
+                m_silent.push_back(session);
+            else
+                write(session, answer("200 OK", isDraining ? "Draining: 1\r\n" : "", "{}"));
             return;
         }
         ++requests;
@@ -231,5 +253,6 @@
     boost::asio::io_context m_context{1};
     Tcp::acceptor m_acceptor{m_context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     std::vector<SessionPtr> m_silent;
+    std::vector<std::weak_ptr<Session>> m_sessions;
     std::thread m_thread;
 };
