Add geraniumcart-bench and tests of sending across workers

The target for a sub-request is at most 1.5 times the processor time of a bare Beast keep-alive loop, which nothing measured. geraniumcart-bench runs both in turn over 510 connections to the same servers and reads the clocks of the client threads only.

--- a/tests/direct_sender_test.cpp
+++ b/tests/direct_sender_test.cpp
@@ -213,3 +213,66 @@
     CHECK(config.state->inFlight() == 0);
     CHECK(fixture.ends->faults == 0);
 }
+
+// Guards against ends that are lost, doubled, early or on another thread, and against counts in
+// flight that do not return to zero, when work crosses workers.
+TEST_CASE("each sub-request of a batch ends once on the worker that sent it")
+{
+    const auto [failure, workerCount, searcherCount, each] =
+            GENERATE(table<const char *, std::uint32_t, int, int>({
+                    {"end before send() returned", 1, 4, 25},
+                    {"end lost between workers", 3, 12, 25},
+            }));
+    INFO(failure);
+    std::vector<std::unique_ptr<TinySearcher>> searchers;
+    std::vector<UpstreamConfig> configs;
+    Fixture fixture(workerCount);
+    std::vector<SubRequest> batch;
+    for (int i = 0; i < searcherCount; ++i) {
+        searchers.push_back(std::make_unique<TinySearcher>());
+        configs.push_back(fixture.warmConfig(searchers.back()->address()));
+    }
+    fixture.configure(configs);
+    for (int i = 0; i < each; ++i)
+        for (const UpstreamConfig &config : configs)
+            batch.push_back(fixture.request(config.state, TestTimeout));
+    const std::size_t count = batch.size();
+    const SubRequestId firstId = batch.front().id;
+    fixture.send(std::move(batch));
+    REQUIRE(eventually([&] { return fixture.ends->size() == count; }));
+    for (SubRequestId id = firstId; id <= fixture.lastId; ++id)
+        CHECK(nameOf(fixture.ends->wait(id)->failure) == "answered");
+    CHECK(fixture.ends->faults == 0);
+    for (int i = 0; i < searcherCount; ++i) {
+        CHECK(configs[static_cast<std::size_t>(i)].state->inFlight() == 0);
+        CHECK(searchers[static_cast<std::size_t>(i)]->mostRunning <= 2);
+    }
+}
+
+// Guards against a removed searcher that gets new work (P4) or loses what is under way (P10).
+TEST_CASE("a removed searcher ends its work and takes no more")
+{
+    const auto [failure, searcherAnswers, underWay] =
+            GENERATE(table<const char *, bool, const char *>({
+                    {"answer under way cut off", true, "answered"},
+                    {"end of silent work lost", false, "timedOut"},
+            }));
+    INFO(failure);
+    TinySearcher searcher;
+    Fixture fixture;
+    const auto config = fixture.warmConfig(searcher.address());
+    fixture.configure({config});
+    REQUIRE(fixture.warmUp(config.state));
+    searcher.delay = 50ms;
+    searcher.reaction = searcherAnswers ? Reaction::Answer : Reaction::Silent;
+    fixture.send({fixture.request(config.state, 300ms)});
+    const SubRequestId kept = fixture.lastId;
+    REQUIRE(eventually([&] { return searcher.requests == 2; }));
+    fixture.configure({});
+    fixture.send({fixture.request(config.state, 300ms)});
+    CHECK(nameOf(fixture.ends->wait(fixture.lastId)->failure) == "notSent");
+    CHECK(nameOf(fixture.ends->wait(kept)->failure) == underWay);
+    CHECK(searcher.requests == 2);
+    CHECK(config.state->inFlight() == 0);
+    CHECK(fixture.ends->faults == 0);
+}
--- /dev/null
+++ b/tools/geraniumcart_bench.cpp
@@ -0,0 +1,416 @@
+// Measures the processor time that the client side spends on one exchange with a searcher: a bare
+// Beast keep-alive loop against DirectSender, over the same connections to the same servers.
+
+#include "connection/direct_sender_p.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <future>
+#include <pthread.h>
+
+using namespace geraniumcart;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+/// Sub-requests of one query.
+constexpr std::uint32_t Searchers = 170;
+constexpr std::uint32_t ConnectionsEach = 3;
+constexpr std::uint32_t Connections = Searchers * ConnectionsEach;
+
+struct BenchSettings
+{
+    std::uint32_t rounds = 7;
+    /// Exchanges of one round.
+    std::uint32_t exchanges = 102000;
+    std::uint32_t serverThreads = 3;
+    std::size_t requestBytes = 100;
+    std::size_t answerBytes = 200;
+};
+
+Duration threadTime(pthread_t thread)
+{
+    clockid_t clock{};
+    timespec time{};
+    if (pthread_getcpuclockid(thread, &clock) != 0 || clock_gettime(clock, &time) != 0)
+        return {};
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+/// A JSON object of about the given size.
+std::string jsonOf(std::size_t bytes)
+{
+    std::string text = R"({"hits":[)";
+    while (text.size() + 4 < bytes)
+        text += "123,";
+    return text + "0]}";
+}
+
+/// Answers every request at once, with as little work as possible.
+class Servers
+{
+public:
+    Servers(const BenchSettings &settings)
+        : m_body(jsonOf(settings.answerBytes))
+    {
+        for (std::uint32_t i = 0; i < settings.serverThreads; ++i)
+            m_contexts.push_back(std::make_unique<asio::io_context>(1));
+        for (std::uint32_t i = 0; i < Searchers; ++i) {
+            m_acceptors.emplace_back(*m_contexts[i % m_contexts.size()],
+                                     Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+            accept(m_acceptors.back());
+        }
+        for (const auto &context : m_contexts)
+            m_threads.emplace_back([io = context.get()] { io->run(); });
+    }
+    ~Servers()
+    {
+        for (const auto &context : m_contexts)
+            context->stop();
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+    Tcp::endpoint endpoint(std::uint32_t index) const
+    {
+        return m_acceptors[index].local_endpoint();
+    }
+
+private:
+    struct Session
+    {
+        explicit Session(Tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        Tcp::socket socket;
+        std::array<char, 16 * 1024> buffer{};
+        std::size_t filled = 0;
+        std::string out;
+    };
+
+    void accept(Tcp::acceptor &acceptor)
+    {
+        acceptor.async_accept([this, &acceptor](const Error &error, Tcp::socket socket) {
+            if (error)
+                return;
+            socket.set_option(Tcp::no_delay(true));
+            read(std::make_shared<Session>(std::move(socket)));
+            accept(acceptor);
+        });
+    }
+
+    static std::string_view field(std::string_view head, std::string_view name)
+    {
+        const std::size_t at = head.find(name);
+        if (at == std::string_view::npos)
+            return {};
+        const std::size_t from = at + name.size();
+        return head.substr(from, head.find('\r', from) - from);
+    }
+
+    void read(const std::shared_ptr<Session> &session)
+    {
+        session->socket.async_read_some(
+                asio::buffer(session->buffer) + session->filled,
+                [this, session](const Error &error, std::size_t size) {
+                    if (error)
+                        return;
+                    session->filled += size;
+                    const std::string_view text(session->buffer.data(), session->filled);
+                    const std::size_t end = text.find("\r\n\r\n");
+                    if (end == std::string_view::npos)
+                        return read(session);
+                    const std::string_view head = text.substr(0, end + 2);
+                    const std::string length(field(head, "Content-Length: "));
+                    if (text.size() < end + 4 + std::strtoul(length.c_str(), nullptr, 10))
+                        return read(session);
+                    answer(session, head);
+                });
+    }
+
+    void answer(const std::shared_ptr<Session> &session, std::string_view head)
+    {
+        session->out = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+        // GET /info has neither field.
+        if (const std::string_view id = field(head, "Request-Id: "); !id.empty()) {
+            session->out += "Request-Id: ";
+            session->out += id;
+            session->out += "\r\nShard: ";
+            session->out += field(head, "Shard: ");
+            session->out += "\r\n";
+        }
+        session->out += "Index-Version: 5\r\nIndex-Versions: 3-5\r\nDocuments: 1000\r\n"
+                        "Boot-Id: 7\r\nBack-End-Version: v1\r\nLoad: 1/2\r\nContent-Length: ";
+        session->out += std::to_string(m_body.size());
+        session->out += "\r\n\r\n";
+        session->out += m_body;
+        session->filled = 0;
+        asio::async_write(session->socket, asio::buffer(session->out),
+                          [this, session](const Error &error, std::size_t) {
+                              if (!error)
+                                  read(session);
+                          });
+    }
+
+    const std::string m_body;
+    std::vector<std::unique_ptr<asio::io_context>> m_contexts;
+    std::deque<Tcp::acceptor> m_acceptors;
+    std::vector<std::thread> m_threads;
+};
+
+/// Plain Beast: each connection writes a request, reads the answer and starts again.
+class BareLoop
+{
+public:
+    BareLoop(const Servers &servers, const BenchSettings &settings)
+    {
+        for (std::uint32_t i = 0; i < Connections; ++i) {
+            m_sessions.push_back(std::make_unique<Session>(m_context));
+            m_sessions.back()->socket.connect(servers.endpoint(i % Searchers));
+            m_sessions.back()->socket.set_option(Tcp::no_delay(true));
+            auto &request = m_sessions.back()->request;
+            request = {http::verb::post, "/search", 11, jsonOf(settings.requestBytes)};
+            request.set(http::field::host, "127.0.0.1");
+            request.set(http::field::content_type, "application/json");
+            request.set("Shard", "4");
+            request.set("Index-Version", "5");
+            request.set("Deadline-Ms", "1000");
+            request.prepare_payload();
+        }
+    }
+
+    /// @return processor time of @p exchanges exchanges
+    Duration run(std::uint32_t exchanges)
+    {
+        Duration used{};
+        std::thread thread([&] {
+            const Duration before = threadTime(pthread_self());
+            m_left = exchanges;
+            for (const auto &session : m_sessions)
+                write(*session);
+            m_context.restart();
+            m_context.run();
+            used = threadTime(pthread_self()) - before;
+        });
+        thread.join();
+        return used;
+    }
+
+private:
+    struct Session
+    {
+        explicit Session(asio::io_context &context)
+            : socket(context)
+        {
+        }
+        Tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        http::response<http::string_body> response;
+    };
+
+    void write(Session &session)
+    {
+        if (m_left == 0)
+            return;
+        --m_left;
+        // Only the id differs between exchanges; anything else set anew would favour DirectSender.
+        session.request.set("Request-Id", std::to_string(++m_lastId));
+        http::async_write(session.socket, session.request,
+                          [this, &session](const Error &error, std::size_t) {
+                              if (!error)
+                                  read(session);
+                          });
+    }
+
+    void read(Session &session)
+    {
+        session.response = {};
+        http::async_read(session.socket, session.buffer, session.response,
+                         [this, &session](const Error &error, std::size_t) {
+                             if (!error)
+                                 write(session);
+                         });
+    }
+
+    asio::io_context m_context{1};
+    std::vector<std::unique_ptr<Session>> m_sessions;
+    std::uint32_t m_left = 0;
+    SubRequestId m_lastId = 0;
+};
+
+/// Queries of one sub-request to each searcher; as many at once as a searcher has connections.
+class SenderLoop
+{
+public:
+    SenderLoop(const Servers &servers, const BenchSettings &settings, std::uint32_t workerCount)
+        : m_workers(workerCount)
+        , m_pools(m_workers)
+        , m_body(std::make_shared<const std::string>(jsonOf(settings.requestBytes)))
+    {
+        m_workers.start();
+        const SearcherLimits limits{.slots = ConnectionsEach,
+                                    .connections = ConnectionsEach,
+                                    .coldRequestsPerSecond = 1e6,
+                                    .warmUp = Duration::zero()};
+        std::vector<UpstreamConfig> configs;
+        for (std::uint32_t i = 0; i < Searchers; ++i) {
+            const auto endpoint = servers.endpoint(i);
+            m_states.push_back(std::make_shared<UpstreamState>("127.0.0.1:" +
+                                                               std::to_string(endpoint.port())));
+            configs.push_back({m_states.back(), limits, {}});
+        }
+        m_pools.configure(configs);
+    }
+    ~SenderLoop() { m_workers.stop(); }
+
+    Duration run(std::uint32_t exchanges)
+    {
+        const Duration before = used();
+        std::vector<std::future<void>> done;
+        const std::uint32_t queries = exchanges / Searchers;
+        // Each query stays on one worker, as a caller's connection does.
+        for (std::uint32_t i = 0; i < ConnectionsEach; ++i) {
+            const auto runner =
+                    std::make_shared<Query>(*this, i % m_workers.size(), queries / ConnectionsEach);
+            done.push_back(runner->done.get_future());
+            asio::post(m_workers.worker(runner->worker).context, [runner] { runner->start(); });
+        }
+        for (const auto &future : done)
+            future.wait();
+        return used() - before;
+    }
+    std::uint64_t failures() const { return m_failures; }
+
+private:
+    struct Query : SubRequestListener, std::enable_shared_from_this<Query>
+    {
+        Query(SenderLoop &senderLoop, std::uint32_t workerIndex, std::uint32_t count)
+            : loop(senderLoop)
+            , worker(workerIndex)
+            , left(count)
+        {
+        }
+        void start()
+        {
+            if (left-- == 0) {
+                done.set_value();
+                return;
+            }
+            missing = Searchers;
+            requests.clear();
+            const TimePoint deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+            for (std::uint32_t i = 0; i < Searchers; ++i)
+                requests.push_back({++loop.m_lastId, RequestKind::Search, "bench", loop.m_states[i],
+                                    "", i, 5, deadline, loop.m_body});
+            loop.m_pools.sender(worker).send(requests, shared_from_this());
+        }
+        void onAnswer(SubAnswer) override { finish(); }
+        void onFailure(SubRequestId, SubFailure) override
+        {
+            ++loop.m_failures;
+            finish();
+        }
+        void finish()
+        {
+            if (--missing == 0)
+                start();
+        }
+
+        SenderLoop &loop;
+        const std::uint32_t worker;
+        std::uint32_t left;
+        std::uint32_t missing = 0;
+        std::vector<SubRequest> requests;
+        std::promise<void> done;
+    };
+
+    Duration used()
+    {
+        Duration sum{};
+        for (std::uint32_t i = 0; i < m_workers.size(); ++i)
+            sum += threadTime(m_workers.worker(i).thread.native_handle());
+        return sum;
+    }
+
+    WorkerPool m_workers;
+    UpstreamPools m_pools;
+    std::shared_ptr<const std::string> m_body;
+    std::vector<std::shared_ptr<UpstreamState>> m_states;
+    std::atomic<SubRequestId> m_lastId{0};
+    std::atomic<std::uint64_t> m_failures{0};
+};
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+double microsecondsEach(Duration used, std::uint32_t exchanges)
+{
+    return std::chrono::duration<double, std::micro>(used).count() / exchanges;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    BenchSettings settings;
+    cxxopts::Options options("geraniumcart-bench", "processor time of one sub-request");
+    options.add_options()("rounds", "", cxxopts::value(settings.rounds))(
+            "exchanges", "of one round", cxxopts::value(settings.exchanges))(
+            "server-threads", "", cxxopts::value(settings.serverThreads))(
+            "request-bytes", "", cxxopts::value(settings.requestBytes))(
+            "answer-bytes", "", cxxopts::value(settings.answerBytes));
+    try {
+        options.parse(argc, argv);
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "%s\n%s", error.what(), options.help().c_str());
+        return 2;
+    }
+    settings.rounds = std::max(settings.rounds, 1U);
+    // A whole number of queries on each of the connections.
+    settings.exchanges = std::max(settings.exchanges / Connections, 1U) * Connections;
+
+    const Servers servers(settings);
+    BareLoop bare(servers, settings);
+    SenderLoop one(servers, settings, 1);
+    SenderLoop two(servers, settings, 2);
+    bare.run(settings.exchanges);
+    one.run(settings.exchanges);
+    two.run(settings.exchanges);
+
+    // Rounds alternate, so that a change of the machine's load meets all of them.
+    std::vector<double> bareTimes;
+    std::vector<double> oneTimes;
+    std::vector<double> twoTimes;
+    for (std::uint32_t i = 0; i < settings.rounds; ++i) {
+        bareTimes.push_back(microsecondsEach(bare.run(settings.exchanges), settings.exchanges));
+        oneTimes.push_back(microsecondsEach(one.run(settings.exchanges), settings.exchanges));
+        twoTimes.push_back(microsecondsEach(two.run(settings.exchanges), settings.exchanges));
+    }
+    const double base = median(bareTimes);
+    std::printf("%u connections, %u rounds of %u exchanges, medians\n", Connections,
+                settings.rounds, settings.exchanges);
+    std::printf("bare Beast loop          %6.2f us\n", base);
+    std::printf("DirectSender, 1 worker   %6.2f us  ratio %.2f\n", median(oneTimes),
+                median(oneTimes) / base);
+    std::printf("DirectSender, 2 workers  %6.2f us  ratio %.2f\n", median(twoTimes),
+                median(twoTimes) / base);
+    const std::uint64_t failures = one.failures() + two.failures();
+    std::printf("failures %llu\n", static_cast<unsigned long long>(failures));
+    return failures == 0 ? 0 : 1;
+}
