Keep the tools in a namespace of their own

Cause: the tools and the library both defined SearcherCall, SearcherAnswer and parseEndpoint; two definitions of one class in a program are undefined behaviour, and the test program did not link. Change: namespace geraniumcart::tools, and the library's parseEndpoint. A cold state counts as noticed once any answer carried the new boot identity, which GET /info does too. A wrong request id stays a number of the same length.

--- a/tests/load_client_test.cpp
+++ b/tests/load_client_test.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 using namespace geraniumcart;
+using namespace geraniumcart::tools;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
--- a/tests/load_report_test.cpp
+++ b/tests/load_report_test.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 
 using namespace geraniumcart;
+using namespace geraniumcart::tools;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tools/control_server.cpp
+++ b/tools/control_server.cpp
@@ -1,8 +1,10 @@
 #include "control_server.h"
 
+#include "connection/searcher_connection_p.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -112,4 +114,4 @@
     return response;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/control_server.h
+++ b/tools/control_server.h
@@ -3,13 +3,14 @@
 #include "http_call.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <thread>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 /// Small HTTP server with a thread of its own, for control of a stand-in. The handler runs on that
 /// thread and may block.
@@ -40,4 +41,4 @@
 
 HttpResponse makeJsonResponse(boost::beast::http::status status, std::string body);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher.cpp
+++ b/tools/fake_searcher.cpp
@@ -7,7 +7,7 @@
 #include <atomic>
 #include <future>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -321,4 +321,4 @@
     return status;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher.h
+++ b/tools/fake_searcher.h
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct IndexVersionConfig
 {
@@ -152,4 +152,4 @@
     std::unique_ptr<Parts> m_parts;
 };
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher_codec.cpp
+++ b/tools/fake_searcher_codec.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace json = boost::json;
 
@@ -366,4 +366,4 @@
     return json::serialize(json::object{{"runs", std::move(runs)}});
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher_main.cpp
+++ b/tools/fake_searcher_main.cpp
@@ -12,7 +12,7 @@
 #include <iostream>
 #include <sstream>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace http = boost::beast::http;
 
@@ -156,4 +156,4 @@
     return 0;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher_main.h
+++ b/tools/fake_searcher_main.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct FakeSearcherOptions
 {
@@ -47,4 +47,4 @@
 /// Runs until SIGINT or SIGTERM. @return the exit code
 int runFakeSearcher(const FakeSearcherOptions &options);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher_port.cpp
+++ b/tools/fake_searcher_port.cpp
@@ -11,7 +11,7 @@
 #include <optional>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -259,6 +259,7 @@
     response.version(11);
     response.result(status);
     addState(response, m_port->m_model.report());
+    m_port->m_model.noteStateSent();
     response.set(http::field::content_type, "application/json");
     response.body() = std::move(body);
     response.prepare_payload();
@@ -416,4 +417,4 @@
     return m_endpoint.address().to_string() + ":" + std::to_string(m_endpoint.port());
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/fake_searcher_port.h
+++ b/tools/fake_searcher_port.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <unordered_set>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 /// Listener and connections of one stand-in searcher. Belongs to one worker once it is started;
 /// open() may run before the worker's thread does.
@@ -55,4 +55,4 @@
     std::unordered_set<std::shared_ptr<Session>> m_sessions;
 };
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/geraniumcart_fakesearcher.cpp
+++ b/tools/geraniumcart_fakesearcher.cpp
@@ -5,10 +5,10 @@
 int main(int argc, char **argv)
 {
     std::string message;
-    const auto options = geraniumcart::parseFakeSearcherOptions(argc, argv, message);
+    const auto options = geraniumcart::tools::parseFakeSearcherOptions(argc, argv, message);
     if (!options) {
         std::cerr << message << '\n';
         return 2;
     }
-    return geraniumcart::runFakeSearcher(*options);
+    return geraniumcart::tools::runFakeSearcher(*options);
 }
--- a/tools/geraniumcart_load.cpp
+++ b/tools/geraniumcart_load.cpp
@@ -5,10 +5,10 @@
 int main(int argc, char **argv)
 {
     std::string message;
-    const auto options = geraniumcart::parseLoadOptions(argc, argv, message);
+    const auto options = geraniumcart::tools::parseLoadOptions(argc, argv, message);
     if (!options) {
         std::cerr << message << '\n';
         return 2;
     }
-    return geraniumcart::runLoadTool(*options);
+    return geraniumcart::tools::runLoadTool(*options);
 }
--- a/tools/http_call.cpp
+++ b/tools/http_call.cpp
@@ -1,10 +1,12 @@
 #include "http_call.h"
 
+#include "connection/searcher_connection_p.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -63,4 +65,4 @@
     return parser.release();
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/http_call.h
+++ b/tools/http_call.h
@@ -4,14 +4,12 @@
 
 #include <geraniumcart/timer_service.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
 #include <string>
-#include <string_view>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
@@ -24,4 +22,4 @@
 std::optional<HttpResponse> httpCall(const std::string &address, HttpRequest request,
                                      Duration timeout, std::string &reason);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/json_fields.cpp
+++ b/tools/json_fields.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -91,4 +91,4 @@
     return true;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/json_fields.h
+++ b/tools/json_fields.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 /// Reads the optional fields of one JSON object into variables that hold the defaults, and refuses
 /// fields that nobody read. The first failure is kept in the reason.
@@ -92,4 +92,4 @@
     }
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_answer.cpp
+++ b/tools/load_answer.cpp
@@ -1,10 +1,12 @@
 #include "load_answer.h"
 
+#include "connection/searcher_connection_p.h"
+
 #include "http_call.h"
 
 #include <boost/json.hpp>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace http = boost::beast::http;
 namespace json = boost::json;
@@ -226,4 +228,4 @@
     return runs;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_answer.h
+++ b/tools/load_answer.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 /// An address to send requests to.
 struct LoadTarget
@@ -49,4 +49,4 @@
 std::optional<std::unordered_map<std::string, std::uint32_t>>
 fetchBookingRuns(const std::vector<std::string> &controls, std::string &reason);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_client.cpp
+++ b/tools/load_client.cpp
@@ -1,5 +1,7 @@
 #include "load_client.h"
 
+#include "connection/searcher_connection_p.h"
+
 #include "http_call.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -8,7 +10,7 @@
 #include <algorithm>
 #include <optional>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -399,4 +401,4 @@
         std::exchange(m_done, nullptr)();
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_client.h
+++ b/tools/load_client.h
@@ -19,7 +19,7 @@
 #include <unordered_set>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct LoadClientConfig
 {
@@ -97,4 +97,4 @@
     Duration m_largestSendDelay{};
 };
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_format.cpp
+++ b/tools/load_format.cpp
@@ -4,7 +4,7 @@
 
 #include <cstdio>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace json = boost::json;
 
@@ -161,4 +161,4 @@
     return json::serialize(root);
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -1,13 +1,13 @@
 #include "load_main.h"
 
-#include "http_call.h"
+#include "connection/searcher_connection_p.h"
 
 #include <cxxopts.hpp>
 
 #include <fstream>
 #include <iostream>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -142,4 +142,4 @@
     return 1;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_main.h
+++ b/tools/load_main.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct LoadOptions
 {
@@ -41,4 +41,4 @@
 /// Runs the load and prints the report. @return the exit code
 int runLoadTool(const LoadOptions &options);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_plan.cpp
+++ b/tools/load_plan.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -89,4 +89,4 @@
     return request;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_plan.h
+++ b/tools/load_plan.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct ClassShare
 {
@@ -60,4 +60,4 @@
     std::uint64_t m_number = 0;
 };
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_report.cpp
+++ b/tools/load_report.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -214,4 +214,4 @@
     }
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_report.h
+++ b/tools/load_report.h
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 enum class LoadOutcome : std::uint8_t {
     Complete,
@@ -154,4 +154,4 @@
 std::string formatLoadTable(const LoadReport &report);
 std::string formatLoadJson(const LoadReport &report);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/load_run.cpp
+++ b/tools/load_run.cpp
@@ -8,7 +8,7 @@
 
 #include <algorithm>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace asio = boost::asio;
 
@@ -199,4 +199,4 @@
     return LoadRun(options).run(reason);
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/searcher_accounts.cpp
+++ b/tools/searcher_accounts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 const std::array<CounterField, 20> CounterFields{{
         {"arrivals", &SearcherCounters::arrivals},
@@ -169,4 +169,4 @@
     return std::make_unique<LognormalServiceTime>(config);
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/searcher_cold.cpp
+++ b/tools/searcher_cold.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <numbers>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace {
 
@@ -88,6 +88,7 @@
     m_accounted.restart(now);
     m_isCounting = isAnnounced;
     m_noticedAt = isAnnounced ? std::optional(now) : std::nullopt;
+    m_firstAnswer.reset();
     ++m_epoch;
     m_running = 0;
 }
@@ -102,7 +103,8 @@
         return start;
     if (!m_isCounting) {
         m_accounted.restart(now);
-        m_accounted.noteAnswer(*m_noticedAt - m_noticeGrace);
+        if (m_firstAnswer)
+            m_accounted.noteAnswer(*m_firstAnswer);
         m_isCounting = true;
     }
     start.isRateExceeded = !m_accounted.noteStart(now);
@@ -122,10 +124,15 @@
 {
     if (!m_startedCold)
         return;
+    if (!m_firstAnswer)
+        m_firstAnswer = now;
     m_bearable.noteAnswer(now);
-    if (m_noticedAt)
-        m_accounted.noteAnswer(now);
-    else
+    m_accounted.noteAnswer(now);
+}
+
+void ColdAccount::noteNotice(TimePoint now)
+{
+    if (m_startedCold && !m_noticedAt)
         m_noticedAt = now + m_noticeGrace;
 }
 
@@ -134,4 +141,4 @@
     return m_startedCold && m_bearable.isCold(now);
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/searcher_model.cpp
+++ b/tools/searcher_model.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct SearcherModel::Running
 {
@@ -158,8 +158,8 @@
     }
     if (running->isStruck) {
         answer.isTwice = m_faults.answersTwice;
-        if (m_faults.hasWrongRequestId)
-            answer.requestId += "0";
+        if (m_faults.hasWrongRequestId && !answer.requestId.empty())
+            answer.requestId.back() = answer.requestId.back() == '1' ? '2' : '1';
         if (m_faults.hasWrongIndexVersion)
             ++answer.indexVersion;
         if (m_faults.closesBeforeAnswer)
@@ -311,4 +311,4 @@
     return counters;
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/searcher_model.h
+++ b/tools/searcher_model.h
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 struct ServiceTimeConfig
 {
@@ -119,7 +119,10 @@
     void becomeCold(TimePoint now, bool isAnnounced);
     Start start(TimePoint now);
     void finish(std::uint64_t epoch);
+    /// A request was answered after it ran; starts the doubling of the rate.
     void noteAnswer(TimePoint now);
+    /// Any answer with the new boot identity was sent.
+    void noteNotice(TimePoint now);
     bool isCold(TimePoint now) const;
 
 private:
@@ -130,6 +133,7 @@
     ColdBucket m_accounted;
     bool m_startedCold = false;
     std::optional<TimePoint> m_noticedAt;
+    std::optional<TimePoint> m_firstAnswer;
     bool m_isCounting = false;
     std::uint64_t m_epoch = 0;
     std::uint32_t m_running = 0;
@@ -345,6 +349,8 @@
     void resetCounters();
 
     SearcherReport report();
+    /// An answer that carries the searcher's state is on its way.
+    void noteStateSent() { m_cold.noteNotice(m_timers.now()); }
     std::uint64_t documentsAt(std::uint64_t indexVersion) const;
     const SearcherModelConfig &config() const { return m_config; }
     SearcherFaults &faults() { return m_faults; }
@@ -387,4 +393,4 @@
     TimePoint m_loadSampledAt{};
 };
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/store_writer.cpp
+++ b/tools/store_writer.cpp
@@ -9,7 +9,7 @@
 #include <functional>
 #include <set>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 namespace http = boost::beast::http;
 
@@ -114,4 +114,4 @@
             reason);
 }
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
--- a/tools/store_writer.h
+++ b/tools/store_writer.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace geraniumcart {
+namespace geraniumcart::tools {
 
 /// Writes `catalog/{service}` for each of @p catalogs, and puts @p searchers into `hosts` in place
 /// of entries with the same addresses. Updates are conditional; a conflict is read again and
@@ -16,4 +16,4 @@
 /// @p hosts with @p searchers in place of those with the same addresses.
 HostList mergeSearchers(HostList hosts, const std::vector<SearcherEntry> &searchers);
 
-} // namespace geraniumcart
+} // namespace geraniumcart::tools
