--- a/tools/control_server.cpp
+++ b/tools/control_server.cpp
@@ -1,6 +1,6 @@
 #include "control_server.h"
 
-#include "connection/searcher_connection_p.h"
+#include "connection/endpoint_p.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
--- a/tools/http_call.cpp
+++ b/tools/http_call.cpp
@@ -1,6 +1,6 @@
 #include "http_call.h"
 
-#include "connection/searcher_connection_p.h"
+#include "connection/endpoint_p.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/tools/load_answer.cpp
+++ b/tools/load_answer.cpp
@@ -1,6 +1,6 @@
 #include "load_answer.h"
 
-#include "connection/searcher_connection_p.h"
+#include "connection/endpoint_p.h"
 
 #include "http_call.h"
 
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -1,6 +1,6 @@
 #include "load_main.h"
 
-#include "connection/searcher_connection_p.h"
+#include "connection/endpoint_p.h"
 
 #include <cxxopts.hpp>
 
