Test writing of catalog and hosts under faults of the store

Cause: the retry after a conflict, an outage or a lost answer had no test. Change: a table with one row per fault, against a small conditional store.

--- /dev/null
+++ b/tests/store_writer_test.cpp
@@ -0,0 +1,106 @@
+#include <catch2/catch.hpp>
+
+#include <control_server.h>
+#include <store_writer.h>
+
+#include <map>
+#include <mutex>
+
+using namespace geraniumcart;
+using namespace geraniumcart::tools;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+namespace {
+
+enum class StoreFault { None, ConflictOnce, UnavailableOnce, LosesAnswerOnce };
+
+/// Stand-in store with conditional updates that has one fault at its first write.
+class TestStore
+{
+public:
+    explicit TestStore(StoreFault fault)
+        : m_fault(fault)
+    {
+    }
+
+    HttpResponse handle(const HttpRequest &request)
+    {
+        const std::lock_guard lock(m_mutex);
+        Object &object = m_objects[std::string(request.target()).substr(Prefix.size())];
+        if (request.method() == http::verb::get) {
+            if (object.version == 0)
+                return makeJsonResponse(http::status::not_found, "{}");
+            HttpResponse response = makeJsonResponse(http::status::ok, object.value);
+            response.set("Object-Version", std::to_string(object.version));
+            return response;
+        }
+        const StoreFault fault = std::exchange(m_fault, StoreFault::None);
+        if (fault == StoreFault::UnavailableOnce)
+            return makeJsonResponse(http::status::service_unavailable, "{}");
+        if (fault == StoreFault::ConflictOnce) {
+            // Another writer was faster.
+            ++object.version;
+            object.value = "{}";
+        }
+        if (request[http::field::if_match] != std::to_string(object.version))
+            return makeJsonResponse(http::status::precondition_failed, "{}");
+        ++object.version;
+        object.value = request.body();
+        if (fault == StoreFault::LosesAnswerOnce)
+            return makeJsonResponse(http::status::bad_gateway, "{}");
+        return makeJsonResponse(http::status::ok, "{}");
+    }
+
+    std::string value(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_objects[key].value;
+    }
+
+private:
+    struct Object
+    {
+        std::uint64_t version = 0;
+        std::string value;
+    };
+
+    static constexpr std::string_view Prefix = "/v1/objects/";
+    std::mutex m_mutex;
+    StoreFault m_fault;
+    std::map<std::string, Object> m_objects;
+};
+
+} // namespace
+
+// Guards against catalog or hosts that are missing or overwritten after a fault of the store.
+TEST_CASE("catalog and hosts are written under a fault of the store")
+{
+    const auto [failure, fault] = GENERATE(table<const char *, StoreFault>({
+            {"fails without a fault", StoreFault::None},
+            {"gives up on a conflict", StoreFault::ConflictOnce},
+            {"gives up while the store is away", StoreFault::UnavailableOnce},
+            {"writes twice after a lost answer", StoreFault::LosesAnswerOnce},
+    }));
+    INFO(failure);
+    TestStore store(fault);
+    ControlServer server([&](const HttpRequest &request) { return store.handle(request); });
+    std::string reason;
+    REQUIRE(server.start("127.0.0.1:0", reason));
+
+    const ServiceCatalog catalog{"corte", {}, {{1, {5, 5}}}};
+    const std::vector<SearcherEntry> first{{"127.0.0.1:1", "corte", "z", "", 0, "v1"}};
+    const std::vector<SearcherEntry> second{{"127.0.0.1:2", "corte", "z", "", 1, "v1"}};
+    CHECK(writeStore(server.address(), {catalog}, first, 5s, reason));
+    CHECK(writeStore(server.address(), {catalog}, second, 5s, reason));
+    CHECK(store.value("catalog/corte") == formatCatalog(catalog));
+    CHECK(store.value("hosts") == formatHostList({{first.front(), second.front()}, {}}));
+}
+
+// Guards against a start that hangs, or goes on, without a store.
+TEST_CASE("writing to a store that is not there fails with a reason")
+{
+    std::string reason;
+    CHECK_FALSE(writeStore("127.0.0.1:1", {{"corte", {}, {}}}, {}, 100ms, reason));
+    CHECK_THAT(reason, Catch::Matchers::Contains("127.0.0.1:1"));
+}
