--- /dev/null
+++ b/tests/rules_apply_test.cpp
@@ -0,0 +1,123 @@
+#include <catch2/catch.hpp>
+
+#include <geraniumcart/rules_apply.h>
+
+#include <functional>
+
+using namespace geraniumcart;
+
+namespace {
+
+/// A store that loses answers or changes between the calls of one apply.
+class ScriptedRulesStore final : public RulesStore
+{
+public:
+    StoredObject object{"rules", 7, "old"};
+    bool exists = true;
+    bool isDown = false;
+    bool losesAnswer = false;
+    bool dropsWrite = false;
+    /// Runs before the write, as a racing operator does.
+    std::function<void(ScriptedRulesStore &)> beforeWrite;
+    /// Runs after a lost answer.
+    std::function<void(ScriptedRulesStore &)> afterWrite;
+
+    std::optional<StoredObject> read(StoreError &error) override
+    {
+        error = isDown ? StoreError::Unavailable : exists ? StoreError::None : StoreError::NotFound;
+        return error == StoreError::None ? std::optional(object) : std::nullopt;
+    }
+
+    std::optional<std::uint64_t> write(std::uint64_t expected, const std::string &text,
+                                       StoreError &error) override
+    {
+        if (beforeWrite)
+            beforeWrite(*this);
+        const bool matches = expected == (exists ? object.version : 0);
+        if (matches && !dropsWrite) {
+            object = {"rules", object.version + 1, text};
+            exists = true;
+        }
+        if (afterWrite)
+            afterWrite(*this);
+        error = losesAnswer ? StoreError::Unknown
+                : matches   ? StoreError::None
+                            : StoreError::Conflict;
+        return error == StoreError::None ? std::optional(object.version) : std::nullopt;
+    }
+};
+
+void raceWith(ScriptedRulesStore &store)
+{
+    store.object = {"rules", store.object.version + 1, "theirs"};
+}
+
+} // namespace
+
+TEST_CASE("apply says accepted only for rules that are in the store")
+{
+    struct Case
+    {
+        const char *failure;
+        std::function<void(ScriptedRulesStore &)> fault;
+        std::uint64_t base;
+        ApplyState expected;
+        const char *stored;
+    };
+    const auto row = GENERATE(values<Case>({
+            {"plain write refused", [](ScriptedRulesStore &) {}, 7, ApplyState::Accepted, "mine"},
+            {"first write refused", [](ScriptedRulesStore &store) { store.exists = false; }, 0,
+             ApplyState::Accepted, "mine"},
+            {"edit of an older version overwrites a newer one", [](ScriptedRulesStore &) {}, 6,
+             ApplyState::Conflict, "old"},
+            {"edit never based on a read overwrites rules", [](ScriptedRulesStore &) {}, 0,
+             ApplyState::Conflict, "old"},
+            {"race between read and write loses the other edit",
+             [](ScriptedRulesStore &store) { store.beforeWrite = raceWith; }, 7,
+             ApplyState::Conflict, "theirs"},
+            {"outage reported as accepted", [](ScriptedRulesStore &store) { store.isDown = true; },
+             7, ApplyState::Unreachable, "old"},
+            {"lost answer of a write that took effect reported as failure",
+             [](ScriptedRulesStore &store) { store.losesAnswer = true; }, 7, ApplyState::Accepted,
+             "mine"},
+            {"lost answer of a write without effect reported as accepted",
+             [](ScriptedRulesStore &store) { store.losesAnswer = store.dropsWrite = true; }, 7,
+             ApplyState::Unknown, "old"},
+            {"lost answer of a lost race reported as accepted",
+             [](ScriptedRulesStore &store) {
+                 store.losesAnswer = true;
+                 store.beforeWrite = raceWith;
+             },
+             7, ApplyState::Conflict, "theirs"},
+            {"lost answer before an outage reported as accepted",
+             [](ScriptedRulesStore &store) {
+                 store.losesAnswer = true;
+                 store.afterWrite = [](ScriptedRulesStore &down) { down.isDown = true; };
+             },
+             7, ApplyState::Unknown, "mine"},
+    }));
+    INFO(row.failure);
+
+    ScriptedRulesStore store;
+    row.fault(store);
+    const ApplyResult result = applyRules(store, row.base, "mine");
+    CHECK(result.state == row.expected);
+    CHECK(store.object.value == row.stored);
+    if (row.expected == ApplyState::Conflict)
+        CHECK(result.theirs == store.object.value);
+}
+
+TEST_CASE("a diff shows each line once with its side")
+{
+    const auto [failure, before, after, expected] =
+            GENERATE(table<const char *, const char *, const char *, std::vector<std::string>>({
+                    {"equal texts differ", "a\nb\n", "a\nb\n", {" a", " b"}},
+                    {"added line lost", "a\n", "a\nb\n", {" a", "+b"}},
+                    {"removed line lost", "a\nb\n", "b\n", {"-a", " b"}},
+                    {"changed line shown on one side", "a\nb\n", "a\nc\n", {" a", "-b", "+c"}},
+                    {"last line without an end lost", "a", "a\nb", {" a", "+b"}},
+                    {"empty text", "", "a\n", {"+a"}},
+            }));
+    INFO(failure);
+    CHECK(diffLines(before, after) == expected);
+}
