Hand warmth over between owners

A rolling restart of eight daemons left 63 of 677 answers partial: each new owner took warm searchers for cold ones. Owners now report the boot identity under which a searcher is warm, and a new owner takes that over once it meets the same identity. Searchers of a zone that is out lose it, so that they count as cold on return.

--- a/include/geraniumcart/peer_messages.h
+++ b/include/geraniumcart/peer_messages.h
@@ -116,7 +116,8 @@
 {
     std::string address;
     ServedVersions served;
-    bool isCold = true;
+    /// See UpstreamState::warmBootId().
+    std::uint64_t warmBootId = 0;
     bool isDraining = false;
     std::uint32_t inFlight = 0;
     Duration latency{};
--- a/include/geraniumcart/upstream_gate.h
+++ b/include/geraniumcart/upstream_gate.h
@@ -45,6 +45,9 @@
 
     void setLimits(const SearcherLimits &limits) { m_limits = limits; }
     void setShare(const Share &share) { m_share = share; }
+    /// Takes over from an owner that saw the searcher warm under @p bootId. It counts as warm once
+    /// this identity is met, and as cold until then; 0 takes nothing over.
+    void takeOver(std::uint64_t bootId) { m_warmBootId = bootId; }
 
     /// Asks for one dispatch now. Dispatch takes a slot, and a cold token while cold.
     Verdict tryDispatch(TimePoint now);
@@ -65,6 +68,8 @@
     bool observeShed(TimePoint now);
 
     bool isCold(TimePoint now) const;
+    /// Boot identity met last; 0 before the first.
+    std::uint64_t bootId() const { return m_bootId.value_or(0); }
     /// When the searcher will be warm; max() before its first answer.
     TimePoint coldUntil() const;
     /// Earliest time at which a cold searcher may get its next request.
@@ -90,6 +95,8 @@
     Share m_share;
     std::uint32_t m_running = 0;
     std::optional<std::uint64_t> m_bootId;
+    /// Identity under which the previous owner saw the searcher warm.
+    std::uint64_t m_warmBootId = 0;
     /// First answer since the searcher became cold.
     std::optional<TimePoint> m_firstAnswer;
     /// Last dispatch while cold, or the time at which the searcher became cold.
--- a/include/geraniumcart/upstream_state.h
+++ b/include/geraniumcart/upstream_state.h
@@ -51,6 +51,22 @@
     bool isCold() const { return m_cold.load(std::memory_order_relaxed); }
     void setCold(bool cold) { m_cold.store(cold, std::memory_order_relaxed); }
 
+    /// Boot identity under which the searcher was last shown warm; 0 while it is cold. A new owner
+    /// takes the warmth over if it meets the same identity.
+    std::uint64_t warmBootId() const { return m_warmBootId.load(std::memory_order_relaxed); }
+    void setWarmBootId(std::uint64_t bootId)
+    {
+        m_warmBootId.store(bootId, std::memory_order_relaxed);
+        setCold(bootId == 0);
+    }
+    /// Forgets what was learned: the searcher got no work for a while, so that it counts as cold
+    /// and its index versions have to be asked for again.
+    void forget()
+    {
+        setWarmBootId(0);
+        setServed({});
+    }
+
     /// The searcher's own signal that it drains; it receives no new work.
     bool isDraining() const { return m_draining.load(std::memory_order_relaxed); }
     void setDraining(bool draining) { m_draining.store(draining, std::memory_order_relaxed); }
@@ -71,6 +87,7 @@
     std::atomic<std::uint64_t> m_newestVersion{0};
     // A searcher counts as cold until it has been shown warm.
     std::atomic<bool> m_cold{true};
+    std::atomic<std::uint64_t> m_warmBootId{0};
     std::atomic<bool> m_draining{false};
 };
 
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -194,16 +194,16 @@
 
 Offset<wire::UpstreamReport> encodeReport(Builder &builder, const UpstreamReport &report)
 {
-    return wire::CreateUpstreamReportDirect(builder, report.address.c_str(), report.served.oldest,
-                                            report.served.newest, report.isCold, report.isDraining,
-                                            report.inFlight, toMicroseconds(report.latency));
+    return wire::CreateUpstreamReportDirect(
+            builder, report.address.c_str(), report.served.oldest, report.served.newest,
+            report.warmBootId, report.isDraining, report.inFlight, toMicroseconds(report.latency));
 }
 
 bool decodeReport(const wire::UpstreamReport &report, UpstreamReport &out)
 {
     out.address = decodeString(report.address());
     out.served = {report.oldest(), report.newest()};
-    out.isCold = report.cold();
+    out.warmBootId = report.warm_boot_id();
     out.isDraining = report.draining();
     out.inFlight = report.in_flight();
     out.latency = std::chrono::microseconds(report.latency_us());
--- a/src/connection/searcher_pool.cpp
+++ b/src/connection/searcher_pool.cpp
@@ -48,6 +48,7 @@
     , m_endpoint(parseEndpoint(m_state->address()))
 {
     m_gate.setShare(share);
+    m_gate.takeOver(m_state->warmBootId());
     proceed(m_context.timers.now());
 }
 
@@ -442,6 +443,7 @@
 void SearcherPool::publishCold(TimePoint now)
 {
     const bool isCold = m_gate.isCold(now);
+    m_state->setWarmBootId(isCold ? 0 : m_gate.bootId());
     m_state->setCold(isCold);
     if (isCold)
         wakeAt(m_gate.coldUntil());
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -38,12 +38,12 @@
 
 bool isSameForRouting(const UpstreamReport &a, const UpstreamReport &b)
 {
-    return a.served == b.served && a.isCold == b.isCold && a.isDraining == b.isDraining;
+    return a.served == b.served && a.warmBootId == b.warmBootId && a.isDraining == b.isDraining;
 }
 
 UpstreamReport reportOf(const UpstreamState &state)
 {
-    return {state.address(),    state.served(),   state.isCold(),
+    return {state.address(),    state.served(),   state.warmBootId(),
             state.isDraining(), state.inFlight(), state.latency()};
 }
 
@@ -367,7 +367,7 @@
         if (!state)
             continue;
         state->setServed(report.served);
-        state->setCold(report.isCold);
+        state->setWarmBootId(report.warmBootId);
         state->setDraining(report.isDraining);
     }
 }
@@ -379,6 +379,9 @@
     bool needsRebuild = false;
     for (const auto &[name, service] : snapshot->services) {
         for (const Searcher &searcher : service->searchers) {
+            // On its return a zone's searchers count as cold.
+            if (snapshot->rules.isZoneOut(searcher.entry.zone))
+                searcher.state->forget();
             const UpstreamReport report = reportOf(*searcher.state);
             const auto [place, isNew] = m_lastReports.try_emplace(report.address, report);
             const bool isChanged = !isNew && !isSameForRouting(place->second, report);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -246,7 +246,7 @@
     std::vector<UpstreamConfig> searchers;
     for (const auto &[name, service] : snapshot.services)
         for (const Searcher &searcher : service->searchers)
-            if (searcher.owner.empty())
+            if (searcher.owner.empty() && !snapshot.rules.isZoneOut(searcher.entry.zone))
                 searchers.push_back({searcher.state, service->limits, share});
     m_pools.configure(std::move(searchers));
 }
--- a/src/process/upstream_gate.cpp
+++ b/src/process/upstream_gate.cpp
@@ -104,6 +104,9 @@
 bool UpstreamGate::observeBoot(std::uint64_t bootId, TimePoint now)
 {
     const bool changed = m_bootId && *m_bootId != bootId;
+    if (!m_bootId && bootId == m_warmBootId && !m_firstAnswer)
+        m_firstAnswer = now - m_limits.warmUp;
+    m_warmBootId = 0;
     m_bootId = bootId;
     if (changed)
         becomeCold(now);
@@ -112,6 +115,7 @@
 
 void UpstreamGate::becomeCold(TimePoint now)
 {
+    m_warmBootId = 0;
     m_firstAnswer.reset();
     m_lastShed.reset();
     m_slowAnswers = 0;
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -65,7 +65,7 @@
              PeerSubReply{{answered(1), {2, SubFailure::NotSent, {}}}}},
             {"cancel loses ids", PeerSubCancel{{1, 2, 3}}},
             {"report loses versions",
-             PeerUpstreamReports{{{"127.0.0.1:5", {3, 4}, false, true, 2, 1500us}}}},
+             PeerUpstreamReports{{{"127.0.0.1:5", {3, 4}, 77, true, 2, 1500us}}}},
             {"release loses the incarnation", PeerRelease{"m1", 8}},
     }));
     INFO(failure);
--- a/tests/upstream_gate_test.cpp
+++ b/tests/upstream_gate_test.cpp
@@ -250,3 +250,26 @@
     state.recordLatency(16ms);
     CHECK(state.latency() == Duration(9ms));
 }
+
+// Guards against a new owner that treats a warm searcher as cold, which would cost a rolling
+// restart its coverage, and against one that trusts old news of a searcher that restarted
+// meanwhile.
+TEST_CASE("warmth is taken over only for the same boot identity")
+{
+    const auto [failure, handedOver, met, expectCold] =
+            GENERATE(table<const char *, std::uint64_t, std::uint64_t, bool>({
+                    {"same identity counts as cold", 7, 7, false},
+                    {"restarted searcher counts as warm", 7, 8, true},
+                    {"unknown history counts as warm", 0, 7, true},
+            }));
+    INFO(failure);
+    ManualTimerService timers;
+    UpstreamGate gate{SearcherLimits()};
+    gate.takeOver(handedOver);
+    CHECK(gate.isCold(timers.now()));
+    gate.observeBoot(met, timers.now());
+    CHECK(gate.isCold(timers.now()) == expectCold);
+    gate.becomeCold(timers.now());
+    gate.observeBoot(met, timers.now());
+    CHECK(gate.isCold(timers.now()));
+}
