--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,16 +5,18 @@
 fleet_store=127.0.0.1:27600
 fleet_controls=(127.0.0.1:27611 127.0.0.1:27612)
 fleet_zones=(cairo-a cairo-b cairo-c cairo-d)
-declare -A fleet_pids=()
 
 # fleet_spawn NAME PROGRAM ARGS...: starts a program in the background.
 fleet_spawn() {
     local name=$1
     shift
     "$@" >"$fleet_dir/$name.out" 2>"$fleet_dir/$name.log" &
-    fleet_pids[$name]=$!
+    # In a file, since experiments restart daemons from subshells.
+    echo $! >"$fleet_dir/$name.pid"
 }
 
+fleet_pid() { cat "$fleet_dir/$1.pid"; }
+
 # fleet_wait URL: waits until it answers with 2xx, for at most 20 seconds.
 fleet_wait() {
     for _ in $(seq 200); do
@@ -54,10 +56,13 @@
 }
 
 fleet_stop() {
-    for pid in "${fleet_pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-    for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    fleet_pids=()
-    [ -n "$fleet_dir" ] && rm -rf "$fleet_dir"
+    [ -n "$fleet_dir" ] || return 0
+    local file
+    for file in "$fleet_dir"/*.pid; do
+        kill -KILL "$(cat "$file")" 2>/dev/null || true
+        wait "$(cat "$file")" 2>/dev/null || true
+    done
+    rm -rf "$fleet_dir"
     fleet_dir=
 }
 
@@ -81,7 +86,7 @@
 # fleet_cpu NAME: processor time of a process so far, in milliseconds.
 fleet_cpu() {
     local ticks
-    ticks=$(awk '{ print $14 + $15 }' "/proc/${fleet_pids[$1]}/stat")
+    ticks=$(awk '{ print $14 + $15 }' "/proc/$(fleet_pid "$1")/stat")
     echo $((ticks * 1000 / $(getconf CLK_TCK)))
 }
 
