Keep both edits in the operators' command line

A diff of two large files took a table of lines times lines. Rows with an absent field were shown under the wrong titles, and control characters in a daemon's answer reached the terminal.

Change: fetch refuses to replace a file that differs. FILE.version names its store as well. apply goes through HttpObjectStore, which tells a refused write from a lost answer, waits between reads, and repeats the write under the same condition while the object is unchanged; a conflict after a lost answer says that the text may have been in force. diffLines leaves out equal ends and bounds its table. Tables place cells by field name.

--- a/include/geraniumcart/rules_apply.h
+++ b/include/geraniumcart/rules_apply.h
@@ -21,6 +21,8 @@
     /// @return the new version, or nothing with @p error
     virtual std::optional<std::uint64_t> write(std::uint64_t expected, const std::string &text,
                                                StoreError &error) = 0;
+    /// Blocks for @p time, between attempts.
+    virtual void pause(Duration time) = 0;
 };
 
 enum class ApplyState : std::uint8_t {
@@ -28,11 +30,11 @@
     Accepted,
     /// The stored text is already this one; nothing was written.
     Unchanged,
-    /// Another edit came between; nothing was written.
+    /// Another edit came between.
     Conflict,
-    /// The store did not answer; nothing was written.
+    /// The store did not answer or refused the write; nothing was written.
     Unreachable,
-    /// The answer to the write was lost and reading back failed.
+    /// The answer to the write was lost and reading back did not settle it.
     Unknown,
 };
 
@@ -43,10 +45,13 @@
     std::uint64_t version = 0;
     /// The other operator's text, for Conflict.
     std::string theirs;
+    /// For Conflict: an answer was lost, so the text may have been in force before the other edit.
+    bool mayHaveApplied = false;
 };
 
 /// Writes @p text on condition that the stored version is @p baseVersion, the one that the operator
-/// last read.
+/// last read; 0 where there were no rules. A lost answer is resolved by reading back; while the
+/// object is unchanged the write is repeated under the same condition.
 ApplyResult applyRules(RulesStore &store, std::uint64_t baseVersion, const std::string &text);
 
 /// Lines that differ, each with `-` (only in @p before), `+` (only in @p after) or a blank before
--- a/src/version/rules_apply.cpp
+++ b/src/version/rules_apply.cpp
@@ -6,12 +6,19 @@
 
 namespace {
 
+/// Writes of one apply. Each is conditional on the same version, so at most one takes effect.
+constexpr int WriteAttempts = 3;
 /// Reads after a lost answer; the store may be slow to come back.
 constexpr int ReadBackAttempts = 5;
+constexpr std::chrono::milliseconds ReadBackPause{500};
+/// Largest table that a diff fills, in cells; larger texts are shown as replaced.
+constexpr std::size_t MaxDiffCells = 16 * 1024 * 1024;
 
-std::vector<std::string_view> splitLines(std::string_view text)
+using Lines = std::vector<std::string_view>;
+
+Lines splitLines(std::string_view text)
 {
-    std::vector<std::string_view> lines;
+    Lines lines;
     while (!text.empty()) {
         const std::size_t end = text.find('\n');
         lines.push_back(text.substr(0, end));
@@ -20,20 +27,58 @@
     return lines;
 }
 
-/// Finds out by reading whether a write whose answer was lost took effect.
-ApplyResult resolveByReading(RulesStore &store, std::uint64_t baseVersion, const std::string &text)
+void append(std::vector<std::string> &lines, char mark, Lines::const_iterator begin,
+            Lines::const_iterator end)
+{
+    for (; begin != end; ++begin)
+        lines.push_back(mark + std::string(*begin));
+}
+
+/// Appends the difference of two texts whose first and last lines differ.
+void appendChanged(std::vector<std::string> &lines, const Lines &old, const Lines &fresh)
+{
+    const std::size_t width = fresh.size() + 1;
+    if (width > MaxDiffCells / (old.size() + 1)) {
+        append(lines, '-', old.begin(), old.end());
+        append(lines, '+', fresh.begin(), fresh.end());
+        return;
+    }
+    // Length of the longest common subsequence of the tails from (i, j) on.
+    std::vector<std::uint32_t> common((old.size() + 1) * width, 0);
+    const auto at = [&](std::size_t i, std::size_t j) -> std::uint32_t & {
+        return common[i * width + j];
+    };
+    for (std::size_t i = old.size(); i-- > 0;)
+        for (std::size_t j = fresh.size(); j-- > 0;)
+            at(i, j) = old[i] == fresh[j] ? at(i + 1, j + 1) + 1
+                                          : std::max(at(i + 1, j), at(i, j + 1));
+
+    std::size_t i = 0;
+    std::size_t j = 0;
+    while (i < old.size() || j < fresh.size()) {
+        const bool isSame = i < old.size() && j < fresh.size() && old[i] == fresh[j];
+        const bool isRemoved =
+                !isSame && i < old.size() && (j == fresh.size() || at(i + 1, j) >= at(i, j + 1));
+        const char mark = isSame ? ' ' : isRemoved ? '-' : '+';
+        lines.push_back(mark + std::string(isSame || isRemoved ? old[i] : fresh[j]));
+        i += isSame || isRemoved;
+        j += isSame || !isRemoved;
+    }
+}
+
+/// Reads the rules after a write without a result. @return false while the store does not answer
+bool readBack(RulesStore &store, std::optional<StoredObject> &current, bool mayBeUnderWay)
 {
     for (int attempt = 0; attempt < ReadBackAttempts; ++attempt) {
+        // A write whose answer was lost may still be on its way to a slow store.
+        if (attempt > 0 || mayBeUnderWay)
+            store.pause(ReadBackPause);
         StoreError error{};
-        const std::optional<StoredObject> object = store.read(error);
-        const std::uint64_t version = object ? object->version : 0;
-        if (object && object->value == text && version != baseVersion)
-            return {ApplyState::Accepted, version, {}};
-        if (object && version != baseVersion)
-            return {ApplyState::Conflict, version, object->value};
-        // The write may still be on its way to a slow store, so an unchanged object proves nothing.
+        current = store.read(error);
+        if (current || error == StoreError::NotFound)
+            return true;
     }
-    return {ApplyState::Unknown, baseVersion, {}};
+    return false;
 }
 
 } // namespace
@@ -41,47 +86,53 @@
 ApplyResult applyRules(RulesStore &store, std::uint64_t baseVersion, const std::string &text)
 {
     StoreError error{};
-    const std::optional<StoredObject> current = store.read(error);
+    std::optional<StoredObject> current = store.read(error);
     if (!current && error != StoreError::NotFound)
         return {ApplyState::Unreachable, 0, {}};
     if (current && current->value == text)
         return {ApplyState::Unchanged, current->version, {}};
-    if (current && current->version != baseVersion)
-        return {ApplyState::Conflict, current->version, current->value};
-
-    const std::optional<std::uint64_t> written =
-            store.write(current ? baseVersion : 0, text, error);
-    if (written)
-        return {ApplyState::Accepted, *written, {}};
-    if (error == StoreError::Unavailable)
-        return {ApplyState::Unreachable, baseVersion, {}};
-    return resolveByReading(store, current ? baseVersion : 0, text);
+
+    bool mayHaveApplied = false;
+    for (int attempt = 0; attempt < WriteAttempts; ++attempt) {
+        const std::uint64_t version = current ? current->version : 0;
+        if (version != baseVersion && current && current->value == text)
+            return {ApplyState::Accepted, version, {}};
+        if (version != baseVersion)
+            return {ApplyState::Conflict, version, current ? current->value : "", mayHaveApplied};
+        const std::optional<std::uint64_t> written = store.write(baseVersion, text, error);
+        if (written)
+            return {ApplyState::Accepted, *written, {}};
+        mayHaveApplied = mayHaveApplied || error == StoreError::Unknown;
+        const bool isRefused = error != StoreError::Unknown && error != StoreError::Conflict;
+        if (isRefused && !mayHaveApplied)
+            return {ApplyState::Unreachable, baseVersion, {}};
+        if (!readBack(store, current, error == StoreError::Unknown))
+            break;
+    }
+    // The last write may have been followed by a read that settles it.
+    const std::uint64_t version = current ? current->version : baseVersion;
+    if (current && version != baseVersion)
+        return current->value == text
+                       ? ApplyResult{ApplyState::Accepted, version, {}}
+                       : ApplyResult{ApplyState::Conflict, version, current->value, mayHaveApplied};
+    return {mayHaveApplied ? ApplyState::Unknown : ApplyState::Unreachable, baseVersion, {}};
 }
 
 std::vector<std::string> diffLines(std::string_view before, std::string_view after)
 {
-    const std::vector<std::string_view> old = splitLines(before);
-    const std::vector<std::string_view> fresh = splitLines(after);
-    // Length of the longest common subsequence of the tails from (i, j) on.
-    std::vector<std::vector<std::size_t>> common(old.size() + 1,
-                                                 std::vector<std::size_t>(fresh.size() + 1, 0));
-    for (std::size_t i = old.size(); i-- > 0;)
-        for (std::size_t j = fresh.size(); j-- > 0;)
-            common[i][j] = old[i] == fresh[j] ? common[i + 1][j + 1] + 1
-                                              : std::max(common[i + 1][j], common[i][j + 1]);
+    const Lines old = splitLines(before);
+    const Lines fresh = splitLines(after);
+    // Edits touch few lines of a long file, so equal ends are left out of the comparison.
+    const auto [oldBegin, freshBegin] =
+            std::mismatch(old.begin(), old.end(), fresh.begin(), fresh.end());
+    const auto [oldTail, freshTail] =
+            std::mismatch(old.rbegin(), std::make_reverse_iterator(oldBegin), fresh.rbegin(),
+                          std::make_reverse_iterator(freshBegin));
 
     std::vector<std::string> lines;
-    std::size_t i = 0;
-    std::size_t j = 0;
-    while (i < old.size() || j < fresh.size()) {
-        const bool isSame = i < old.size() && j < fresh.size() && old[i] == fresh[j];
-        const bool isRemoved = !isSame && i < old.size() &&
-                               (j == fresh.size() || common[i + 1][j] >= common[i][j + 1]);
-        const char mark = isSame ? ' ' : isRemoved ? '-' : '+';
-        lines.push_back(mark + std::string(isSame || isRemoved ? old[i] : fresh[j]));
-        i += isSame || isRemoved;
-        j += isSame || !isRemoved;
-    }
+    append(lines, ' ', old.begin(), oldBegin);
+    appendChanged(lines, Lines(oldBegin, oldTail.base()), Lines(freshBegin, freshTail.base()));
+    append(lines, ' ', oldTail.base(), old.end());
     return lines;
 }
 
--- a/tests/rules_apply_test.cpp
+++ b/tests/rules_apply_test.cpp
@@ -17,6 +17,11 @@
     bool isDown = false;
     bool losesAnswer = false;
     bool dropsWrite = false;
+    /// Number of coming writes that lose their answer and have no effect.
+    int writesToLose = 0;
+    /// What a write is refused with.
+    StoreError refusal = StoreError::None;
+    int writes = 0;
     /// Runs before the write, as a racing operator does.
     std::function<void(ScriptedRulesStore &)> beforeWrite;
     /// Runs after a lost answer.
@@ -31,6 +36,16 @@
     std::optional<std::uint64_t> write(std::uint64_t expected, const std::string &text,
                                        StoreError &error) override
     {
+        ++writes;
+        if (writesToLose > 0) {
+            --writesToLose;
+            error = StoreError::Unknown;
+            return std::nullopt;
+        }
+        if (refusal != StoreError::None) {
+            error = refusal;
+            return std::nullopt;
+        }
         if (beforeWrite)
             beforeWrite(*this);
         const bool matches = expected == (exists ? object.version : 0);
@@ -45,6 +60,15 @@
                             : StoreError::Conflict;
         return error == StoreError::None ? std::optional(object.version) : std::nullopt;
     }
+
+    void pause(Duration) override
+    {
+        if (onPause)
+            onPause(*this);
+    }
+
+    /// Runs while the operator's side waits between attempts.
+    std::function<void(ScriptedRulesStore &)> onPause;
 };
 
 void raceWith(ScriptedRulesStore &store)
@@ -95,6 +119,39 @@
                  store.afterWrite = [](ScriptedRulesStore &down) { down.isDown = true; };
              },
              7, ApplyState::Unknown, "mine"},
+            {"write over rules that were removed after they were read",
+             [](ScriptedRulesStore &store) { store.exists = false; }, 7, ApplyState::Conflict,
+             "old"},
+            {"removal between read and write reported as an unknown result",
+             [](ScriptedRulesStore &store) {
+                 store.beforeWrite = [](ScriptedRulesStore &racing) { racing.exists = false; };
+             },
+             7, ApplyState::Conflict, "old"},
+            {"refused write reported as an unknown result",
+             [](ScriptedRulesStore &store) { store.refusal = StoreError::Unavailable; }, 7,
+             ApplyState::Unreachable, "old"},
+            {"write that the store finds malformed reported as an unknown result",
+             [](ScriptedRulesStore &store) { store.refusal = StoreError::Malformed; }, 7,
+             ApplyState::Unreachable, "old"},
+            {"lost request not repeated", [](ScriptedRulesStore &store) { store.writesToLose = 1; },
+             7, ApplyState::Accepted, "mine"},
+            {"outage after a lost answer not waited for",
+             [](ScriptedRulesStore &store) {
+                 store.losesAnswer = true;
+                 store.afterWrite = [](ScriptedRulesStore &down) { down.isDown = true; };
+                 store.onPause = [pauses = 0](ScriptedRulesStore &down) mutable {
+                     down.isDown = ++pauses < 3;
+                 };
+             },
+             7, ApplyState::Accepted, "mine"},
+            {"write that arrives late reported as failure",
+             [](ScriptedRulesStore &store) {
+                 store.writesToLose = 1;
+                 store.onPause = [](ScriptedRulesStore &late) {
+                     late.object = {"rules", 8, "mine"};
+                 };
+             },
+             7, ApplyState::Accepted, "mine"},
     }));
     INFO(row.failure);
 
@@ -104,7 +161,43 @@
     CHECK(result.state == row.expected);
     CHECK(store.object.value == row.stored);
     if (row.expected == ApplyState::Conflict)
-        CHECK(result.theirs == store.object.value);
+        CHECK(result.theirs == (store.exists ? store.object.value : ""));
+}
+
+// Guards against an operator who is told that nothing was written, when the rules were in force
+// until the other edit.
+TEST_CASE("a conflict after a lost answer says that the rules may have been in force")
+{
+    const auto [failure, losesAnswer] = GENERATE(table<const char *, bool>({
+            {"a plain conflict is called uncertain", false},
+            {"a conflict after a lost answer is called certain", true},
+    }));
+    INFO(failure);
+    ScriptedRulesStore store;
+    store.losesAnswer = losesAnswer;
+    (losesAnswer ? store.afterWrite : store.beforeWrite) = raceWith;
+    const ApplyResult result = applyRules(store, 7, "mine");
+    CHECK(result.state == ApplyState::Conflict);
+    CHECK(result.theirs == "theirs");
+    CHECK(result.mayHaveApplied == losesAnswer);
+}
+
+// Guards against a diff of two large files that takes gigabytes of memory.
+TEST_CASE("a diff of large texts is bounded and whole")
+{
+    const auto [failure, editedLines, expectedLines] =
+            GENERATE(table<const char *, std::size_t, std::size_t>({
+                    {"one changed line in a large text compares every line", 1, 40001},
+                    {"two large texts without a common line are compared", 40000, 80000},
+            }));
+    INFO(failure);
+    std::string before;
+    std::string after;
+    for (std::size_t line = 0; line < 40000; ++line) {
+        before += "line " + std::to_string(line) + '\n';
+        after += (line < editedLines ? "edited " : "line ") + std::to_string(line) + '\n';
+    }
+    CHECK(diffLines(before, after).size() == expectedLines);
 }
 
 TEST_CASE("a diff shows each line once with its side")
--- a/tools/operator_cli.cpp
+++ b/tools/operator_cli.cpp
@@ -4,6 +4,7 @@
 #include "operator_tables.h"
 
 #include "connection/endpoint_p.h"
+#include "connection/http_object_store_p.h"
 
 #include <geraniumcart/rules.h>
 #include <geraniumcart/rules_apply.h>
@@ -13,6 +14,7 @@
 #include <cxxopts.hpp>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -23,7 +25,7 @@
 
 constexpr std::chrono::seconds CallTimeout{5};
 constexpr std::chrono::seconds WatchInterval{1};
-const char *const RulesTarget = "/v1/objects/rules";
+const char *const RulesKey = "rules";
 
 const char *const HelpText =
         R"(geraniumcart: checks and applies the rules file and shows what became of each rule.
@@ -32,7 +34,7 @@
 
   check FILE     parse the file; errors name file, line and column
   diff FILE      show how the file differs from the rules in force
-  fetch FILE     write the rules in force to the file and note their version
+  fetch FILE     write the rules in force to a new file and note their version
   apply FILE     put the file in force, unless another edit came between
   status         show each rule and its state; --watch repeats, --json prints JSON
   entries        show the addresses that callers use
@@ -40,7 +42,8 @@
   --help         print this text
 
 --store (GERANIUMCART_STORE) is the object store, --daemon (GERANIUMCART_DAEMON) any entry daemon.
-The version that was last read or applied stands in FILE.version.
+FILE.version holds the version that was last fetched or applied, and its store; apply is refused
+when another version is in force.
 
 Exit codes: 0 done; 1 rules refused or edit conflict; 2 usage; 3 store or daemon does not answer;
 4 it is not known whether the rules were accepted.
@@ -56,56 +59,56 @@
     bool isWatching = false;
 };
 
-/// The rules object over HTTP.
+/// The rules object over HTTP, one call at a time.
 class HttpRulesStore final : public RulesStore
 {
 public:
-    explicit HttpRulesStore(std::string address)
-        : m_address(std::move(address))
+    explicit HttpRulesStore(const boost::asio::ip::tcp::endpoint &server)
+        : m_store(m_context, server)
     {
     }
 
     std::optional<StoredObject> read(StoreError &error) override
     {
-        const auto response = call(makeRequest(boost::beast::http::verb::get, RulesTarget));
-        if (!response || response->result_int() >= 500) {
-            error = StoreError::Unavailable;
-            return std::nullopt;
-        }
-        if (response->result() == boost::beast::http::status::not_found) {
-            error = StoreError::NotFound;
-            return std::nullopt;
-        }
-        return StoredObject{"rules", versionOf(*response), response->body()};
+        std::optional<StoredObject> object;
+        m_store.get(RulesKey, [&](std::optional<StoredObject> found, StoreError reason) {
+            object = std::move(found);
+            error = reason;
+            m_context.stop();
+        });
+        run();
+        return object;
     }
 
     std::optional<std::uint64_t> write(std::uint64_t expected, const std::string &text,
                                        StoreError &error) override
     {
-        HttpRequest request = makeRequest(boost::beast::http::verb::put, RulesTarget, text);
-        request.set(boost::beast::http::field::if_match, std::to_string(expected));
-        const auto response = call(std::move(request));
-        if (response && response->result() == boost::beast::http::status::ok)
-            return versionOf(*response);
-        const bool isConflict =
-                response && response->result() == boost::beast::http::status::precondition_failed;
-        error = isConflict ? StoreError::Conflict : StoreError::Unknown;
-        return std::nullopt;
+        std::optional<std::uint64_t> version;
+        m_store.put(RulesKey, expected, text,
+                    [&](std::optional<std::uint64_t> written, StoreError reason) {
+                        version = written;
+                        error = reason;
+                        m_context.stop();
+                    });
+        run();
+        return version;
     }
 
-private:
-    std::optional<HttpResponse> call(HttpRequest request)
+    void pause(Duration time) override
     {
-        std::string reason;
-        return httpCall(m_address, std::move(request), CallTimeout, reason);
+        boost::asio::steady_timer timer(m_context, time);
+        timer.wait();
     }
 
-    static std::uint64_t versionOf(const HttpResponse &response)
+private:
+    void run()
     {
-        return std::strtoull(std::string(response["Object-Version"]).c_str(), nullptr, 10);
+        m_context.restart();
+        m_context.run();
     }
 
-    std::string m_address;
+    boost::asio::io_context m_context{1};
+    HttpObjectStore m_store;
 };
 
 std::string fromEnvironment(const char *name)
@@ -166,24 +169,44 @@
     return text.str();
 }
 
+/// Replaces a file in one step, so that a crash leaves the old one or the new one.
 bool writeFile(const std::string &path, const std::string &text)
 {
-    std::ofstream file(path, std::ios::binary | std::ios::trunc);
-    file << text;
-    file.flush();
-    return file.good();
+    const std::string fresh = path + ".new";
+    {
+        std::ofstream file(fresh, std::ios::binary | std::ios::trunc);
+        file << text;
+        file.flush();
+        if (!file.good())
+            return false;
+    }
+    std::error_code error;
+    std::filesystem::rename(fresh, path, error);
+    return !error;
 }
 
-std::uint64_t readBaseVersion(const std::string &path)
+/// Version that the file is based on; 0 where none was read from this store. Another store's
+/// version may be equal by chance and must not let an edit pass.
+/// @return nothing when FILE.version is malformed
+std::optional<std::uint64_t> readBaseVersion(const CliOptions &options)
 {
-    const auto text = readFile(path + ".version");
-    return text ? std::strtoull(text->c_str(), nullptr, 10) : 0;
+    const auto text = readFile(options.file + ".version");
+    if (!text)
+        return 0;
+    std::istringstream words(*text);
+    std::uint64_t version = 0;
+    std::string store;
+    std::string rest;
+    if (!(words >> version >> store) || (words >> rest) || !isAddress(store))
+        return std::nullopt;
+    return store == options.store ? version : 0;
 }
 
-void noteBaseVersion(const std::string &path, std::uint64_t version)
+void noteBaseVersion(const CliOptions &options, std::uint64_t version)
 {
-    if (!writeFile(path + ".version", std::to_string(version) + "\n"))
-        std::cerr << "geraniumcart: cannot write " << path << ".version\n";
+    const std::string path = options.file + ".version";
+    if (!writeFile(path, std::to_string(version) + ' ' + options.store + '\n'))
+        std::cerr << "geraniumcart: cannot write " << path << '\n';
 }
 
 bool reportParse(const std::string &path, const std::string &text)
@@ -203,10 +226,10 @@
     return ExitOk;
 }
 
-void printDiff(const std::string &before, const std::string &after)
+void printDiff(std::ostream &out, const std::string &before, const std::string &after)
 {
     for (const std::string &line : diffLines(before, after))
-        std::cout << line << '\n';
+        out << line << '\n';
 }
 
 int unreachable(const std::string &what)
@@ -215,36 +238,48 @@
     return ExitUnreachable;
 }
 
+int reportConflict(const CliOptions &options, std::uint64_t base, const ApplyResult &result,
+                   const std::string &text)
+{
+    std::cerr << "refused: " << options.file << " is based on version " << base << ", but version "
+              << result.version << " is in force. "
+              << (result.mayHaveApplied
+                          ? "An answer of the store was lost, so yours may have been in force "
+                            "before.\n"
+                          : "Nothing was written.\n")
+              << "Theirs (-) against yours (+):\n";
+    printDiff(std::cerr, result.theirs, text);
+    std::cerr << "Run 'geraniumcart fetch OTHER-FILE', merge your lines into OTHER-FILE and apply "
+                 "that.\n";
+    return ExitRefused;
+}
+
 int apply(const CliOptions &options, const std::string &text)
 {
     if (!reportParse(options.file, text))
         return ExitRefused;
-    HttpRulesStore store(options.store);
-    const std::uint64_t base = readBaseVersion(options.file);
+    const std::optional<std::uint64_t> noted = readBaseVersion(options);
+    if (!noted)
+        return usageError(options.file + ".version: expected 'VERSION IP:PORT'");
+    const std::uint64_t base = *noted;
+    HttpRulesStore store(*parseEndpoint(options.store));
     const ApplyResult result = applyRules(store, base, text);
     switch (result.state) {
     case ApplyState::Accepted:
-        noteBaseVersion(options.file, result.version);
+        noteBaseVersion(options, result.version);
         std::cout << "accepted version " << result.version << '\n';
         return ExitOk;
     case ApplyState::Unchanged:
-        noteBaseVersion(options.file, result.version);
+        noteBaseVersion(options, result.version);
         std::cout << "unchanged version " << result.version << '\n';
         return ExitOk;
     case ApplyState::Conflict:
-        std::cerr << "refused: this file was edited from version " << base << ", but version "
-                  << result.version << " is in force. Nothing was written.\n"
-                  << "Their version (-) against yours (+):\n";
-        printDiff(result.theirs, text);
-        std::cerr << "Merge both into the file after 'geraniumcart fetch OTHER-FILE', and put the "
-                     "version "
-                  << result.version << " into " << options.file << ".version.\n";
-        return ExitRefused;
+        return reportConflict(options, base, result, text);
     case ApplyState::Unreachable:
         return unreachable("the object store");
     case ApplyState::Unknown:
-        std::cerr << "unknown: the store's answer was lost and it does not show the new rules yet; "
-                     "run apply again\n";
+        std::cerr << "unknown: the store's answer was lost and reading back did not settle whether "
+                     "the rules are in force; run apply again\n";
         return ExitUnknown;
     }
     return ExitUnknown;
@@ -252,25 +287,35 @@
 
 int diff(const CliOptions &options, const std::string &text)
 {
-    HttpRulesStore store(options.store);
+    HttpRulesStore store(*parseEndpoint(options.store));
     StoreError error{};
     const auto current = store.read(error);
     if (!current && error != StoreError::NotFound)
         return unreachable("the object store");
-    printDiff(current ? current->value : "", text);
+    printDiff(std::cout, current ? current->value : "", text);
     return ExitOk;
 }
 
 int fetch(const CliOptions &options)
 {
-    HttpRulesStore store(options.store);
+    HttpRulesStore store(*parseEndpoint(options.store));
     StoreError error{};
     const auto current = store.read(error);
     if (!current && error != StoreError::NotFound)
         return unreachable("the object store");
-    if (!writeFile(options.file, current ? current->value : ""))
+    const std::string inForce = current ? current->value : "";
+    const auto text = readFile(options.file);
+    if (text && *text != inForce) {
+        std::cerr
+                << "refused: " << options.file
+                << " differs from the rules in force and would be lost; fetch to another file. In "
+                   "force (-) against the file (+):\n";
+        printDiff(std::cerr, inForce, *text);
+        return ExitRefused;
+    }
+    if (!text && !writeFile(options.file, inForce))
         return usageError("cannot write " + options.file);
-    noteBaseVersion(options.file, current ? current->version : 0);
+    noteBaseVersion(options, current ? current->version : 0);
     std::cout << "version " << (current ? current->version : 0) << " in " << options.file << '\n';
     return ExitOk;
 }
@@ -281,7 +326,7 @@
     const auto response = httpCall(
             options.daemon, makeRequest(boost::beast::http::verb::get, "/v1/" + options.command),
             CallTimeout, reason);
-    if (!response)
+    if (!response || response->result() != boost::beast::http::status::ok)
         return unreachable("the daemon at " + options.daemon);
     const auto table =
             options.isJson ? response->body() : formatAnswer(options.command, response->body());
--- a/tools/operator_tables.cpp
+++ b/tools/operator_tables.cpp
@@ -15,6 +15,9 @@
 
 using Row = std::vector<std::string>;
 
+/// 2200-01-01 in milliseconds since 1970; system_clock ends in 2262.
+constexpr std::int64_t MaxTimeMs = 7258118400000;
+
 std::string formatTime(std::chrono::system_clock::time_point time)
 {
     const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
@@ -25,13 +28,28 @@
     return text;
 }
 
+/// Text from a daemon without control characters, which would act on the operator's terminal.
+std::string printable(std::string_view text)
+{
+    std::string shown(text);
+    const auto isControl = [](char c) {
+        return static_cast<unsigned char>(c) < 0x20 || static_cast<unsigned char>(c) == 0x7f;
+    };
+    std::replace_if(shown.begin(), shown.end(), isControl, '?');
+    return shown;
+}
+
 std::string formatCell(std::string_view name, const json::value &value)
 {
     if (value.is_string())
-        return std::string(value.get_string());
-    if (name == "sinceMs" && value.is_number())
-        return formatTime(std::chrono::system_clock::time_point(
-                std::chrono::milliseconds(value.to_number<std::int64_t>())));
+        return printable(value.get_string());
+    if (name == "sinceMs") {
+        boost::system::error_code error;
+        const auto since = value.to_number<std::int64_t>(error);
+        if (!error && since >= 0 && since < MaxTimeMs)
+            return formatTime(
+                    std::chrono::system_clock::time_point(std::chrono::milliseconds(since)));
+    }
     if (value.is_double()) {
         char text[32];
         std::snprintf(text, sizeof text, "%g", value.get_double());
@@ -68,6 +86,7 @@
     std::string text = indent + std::string(name) + (array.empty() ? ": none\n" : ":\n");
     const std::string inner = indent + "  ";
     std::vector<Row> rows;
+    Row names;
     for (const json::value &element : array) {
         if (!element.is_object()) {
             rows.push_back({formatCell("", element)});
@@ -81,16 +100,25 @@
             text += formatObject(object, inner);
             continue;
         }
-        Row titles;
-        Row cells;
+        // A row may lack a field or have one more, so cells go by name.
+        Row cells(names.size());
         for (const auto &field : object) {
-            titles.push_back(field.key() == "sinceMs" ? "since" : std::string(field.key()));
-            cells.push_back(formatCell(field.key(), field.value()));
+            const auto found = std::find(names.begin(), names.end(), field.key());
+            const auto column = static_cast<std::size_t>(found - names.begin());
+            if (found == names.end()) {
+                names.emplace_back(field.key());
+                cells.emplace_back();
+            }
+            cells[column] = formatCell(field.key(), field.value());
         }
-        if (rows.empty())
-            rows.push_back(titles);
         rows.push_back(cells);
     }
+    if (!names.empty()) {
+        Row titles;
+        for (const std::string &column : names)
+            titles.push_back(column == "sinceMs" ? "since" : printable(column));
+        rows.insert(rows.begin(), titles);
+    }
     return text + formatRows(rows, inner);
 }
 
