--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -169,6 +169,8 @@
     }
     CallerListenerOptions options;
     options.address = m_settings.listen;
+    options.maxConnections = m_settings.maxConnections;
+    options.backlog = m_settings.listenBacklog;
     m_callers.emplace(m_workers, frontEnds, options);
     if (!m_callers->open(reason))
         return false;
--- a/tools/geraniumcartd.cpp
+++ b/tools/geraniumcartd.cpp
@@ -1,3 +1,5 @@
+#include "process/log_p.h"
+
 #include <geraniumcart/daemon.h>
 #include <geraniumcart/settings.h>
 
@@ -41,6 +43,7 @@
         (isHelp ? std::cout : std::cerr) << failure.message << '\n';
         return isHelp ? EXIT_SUCCESS : ExitUsage;
     }
+    configureLogging(parseLogLevel(settings->logLevel).value_or(LogLevel::Info));
 
     // Before the daemon starts threads, so that a signal always finds its handler.
     boost::asio::io_context context;
