Copy bindings before lambdas capture them in a pool test

clang-tidy 14 refuses captured structured bindings, so scripts/lint failed on tests/searcher_pool_test.cpp. The checks are unchanged.

--- a/tests/searcher_pool_test.cpp
+++ b/tests/searcher_pool_test.cpp
@@ -293,13 +293,16 @@
 // one that cannot be used because it does not answer GET /info.
 TEST_CASE("an idle searcher is probed")
 {
-    const auto [failure, answersInfo, draining, expected] =
+    const auto [failure, hasInfo, drains, expected] =
             GENERATE(table<const char *, bool, bool, const char *>({
                     {"idle searcher loses its connection", true, false, "answered"},
                     {"draining unknown without traffic", true, true, "notSent"},
                     {"unanswered probe blocks work", false, false, "answered"},
             }));
     INFO(failure);
+    // Structured bindings cannot be captured by clang 14.
+    const bool answersInfo = hasInfo;
+    const bool draining = drains;
     TinySearcher searcher;
     searcher.answersInfo = answersInfo;
     PoolFixture fixture(searcher.address());
