Record finished moves in the store

Change: the holder of the duty `moves` writes status/move/{service} by conditional update until it is confirmed. A done move can become taken back, not the reverse. The daemons that watch the store compete for the duty, and records spread like other objects.

--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -16,6 +16,7 @@
 constexpr const char *RulesKey = "rules";
 constexpr const char *HostsKey = "hosts";
 constexpr const char *CatalogPrefix = "catalog/";
+constexpr const char *MovesDuty = "moves";
 
 /// Daemons of each zone that watch the store. Two survive the loss of one; more would cost the
 /// store a waiting call each.
@@ -90,6 +91,9 @@
     , m_membership(membershipConfig(m_config), context.timers, context.network, *this,
                    [this] { onMembersChanged(); })
     , m_rollout({}, context.timers)
+    , m_moveLease({MovesDuty, m_config.self.name, m_membership.self().incarnation}, context.store,
+                  context.timers)
+    , m_moveRecorder(m_moveLease, context.store, context.timers, m_rollout)
     , m_status(std::make_shared<ControlStatus>())
 {
     m_startedAt = m_membership.self().incarnation;
@@ -99,6 +103,7 @@
     m_watcher.follow(RulesKey);
     m_watcher.follow(HostsKey);
     m_watcher.followPrefix(CatalogPrefix);
+    m_watcher.followPrefix(MoveRecordPrefix);
 }
 
 void Control::start()
@@ -144,6 +149,8 @@
         onHosts(object);
     else if (object.key.starts_with(CatalogPrefix))
         onCatalog(object);
+    else if (object.key.starts_with(MoveRecordPrefix))
+        m_moveRecorder.take(object);
     if (m_watcher.isActive())
         pushToPeers(object);
     requestRebuild();
@@ -338,6 +345,8 @@
     if (watches != m_watcher.isActive())
         logEvent(LogLevel::Info, watches ? "watchStarted" : "watchStopped");
     m_watcher.setActive(watches);
+    // The daemons that watch the store also compete for the duty, which bounds its calls.
+    m_moveLease.setActive(watches);
 }
 
 // Upstream states
@@ -498,6 +507,7 @@
         m_rollout.setServedEverywhere(move.service, move.version,
                                       isServedEverywhere(move.service, move.version));
     m_rollout.tick();
+    m_moveRecorder.step(m_inputs.rulesVersion);
     std::map<std::string, std::vector<VersionShare>, std::less<>> shares;
     for (const MoveRule &move : m_inputs.rules.moves)
         shares[move.service] = sharesOf(move.service);
--- a/src/process/control_p.h
+++ b/src/process/control_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/move_recorder_p.h"
 #include "process/store_watcher_p.h"
 
 #include <geraniumcart/config_spread.h>
@@ -126,6 +127,8 @@
     Membership m_membership;
     UpstreamRegistry m_registry;
     Rollout m_rollout;
+    LeaseKeeper m_moveLease;
+    MoveRecorder m_moveRecorder;
     RoutingInputs m_inputs;
     bool m_rebuildPosted = false;
     std::uint64_t m_generation = 0;
