Capture structured bindings by initialiser in the pool test

clang 14 refuses a lambda that captures a structured binding by reference, so clang-tidy failed on the file and scripts/lint with it. The captures are copies of the same values; no check changes.

--- a/tests/searcher_pool_test.cpp
+++ b/tests/searcher_pool_test.cpp
@@ -303,7 +303,7 @@
     TinySearcher searcher;
     searcher.answersInfo = answersInfo;
     PoolFixture fixture(searcher.address());
-    REQUIRE(fixture.runUntil([&] {
+    REQUIRE(fixture.runUntil([&, answersInfo = answersInfo] {
         return (answersInfo ? fixture.counters.infoAnswers.load() : searcher.infos.load()) == 3;
     }));
     searcher.isDraining = draining;
@@ -313,7 +313,8 @@
     } else {
         fixture.timers.advance(500ms);
     }
-    REQUIRE(fixture.runUntil([&] { return fixture.state->isDraining() == draining; }));
+    REQUIRE(fixture.runUntil(
+            [&, draining = draining] { return fixture.state->isDraining() == draining; }));
     if (!answersInfo)
         REQUIRE(fixture.runUntil([&] { return searcher.connections == 6; }));
     const SubRequestId id = fixture.submit(1s);
