--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -5,6 +5,8 @@
 #include <geraniumcart/config.h>
 
 #include <algorithm>
+#include <bit>
+#include <cstring>
 #include <map>
 
 namespace geraniumcart {
@@ -22,6 +24,9 @@
 constexpr flatbuffers::uoffset_t MaxDepth = 16;
 constexpr flatbuffers::uoffset_t MaxTables = 1'000'000;
 constexpr std::uint8_t NoFailure = 255;
+/// Longest duration either way that a frame may state; keeps sums with the current time from
+/// overflow.
+constexpr std::chrono::microseconds MaxSpan = std::chrono::hours(24 * 365);
 
 std::int64_t toMicroseconds(Duration duration)
 {
@@ -39,9 +44,40 @@
                  : std::string();
 }
 
-std::string decodeString(const flatbuffers::String *text)
+static_assert(std::endian::native == std::endian::little, "vectors are copied as they stand");
+
+/// Copies, because the verifier checks the alignment of a vector's length but not of its numbers.
+void decodeNumbers(const Vector<std::uint64_t> *numbers, std::vector<std::uint64_t> &out)
+{
+    if (!numbers || numbers->size() == 0)
+        return;
+    out.resize(numbers->size());
+    std::memcpy(out.data(), numbers->Data(), out.size() * sizeof(std::uint64_t));
+}
+
+/// False if the text holds a NUL byte, at which encoding as a C string would cut it.
+bool decodeString(const flatbuffers::String *text, std::string &out)
+{
+    out = text ? text->str() : std::string();
+    return out.find('\0') == std::string::npos;
+}
+
+/// False if the duration is longer than MaxSpan.
+bool decodeSpan(std::int64_t microseconds, Duration &out)
 {
-    return text ? text->str() : std::string();
+    if (microseconds > MaxSpan.count() || microseconds < -MaxSpan.count())
+        return false;
+    out = std::chrono::microseconds(microseconds);
+    return true;
+}
+
+/// False if the time is before 1970 or past the end of the clock.
+bool decodeTime(std::int64_t microseconds, WallTime &out)
+{
+    if (microseconds < 0 || microseconds > toMicroseconds(WallTime::max().time_since_epoch()))
+        return false;
+    out = WallTime(std::chrono::microseconds(microseconds));
+    return true;
 }
 
 /// Encodes a vector of tables, row by row.
@@ -80,10 +116,12 @@
 {
     if (member.state() > static_cast<std::uint8_t>(MemberState::Dead))
         return false;
-    out = {decodeString(member.name()),    decodeString(member.zone()),
-           decodeString(member.address()), decodeString(member.peer_address()),
-           member.incarnation(),           static_cast<MemberState>(member.state())};
-    return !out.name.empty() && !out.peerAddress.empty();
+    out.incarnation = member.incarnation();
+    out.state = static_cast<MemberState>(member.state());
+    return decodeString(member.name(), out.name) && decodeString(member.zone(), out.zone) &&
+           decodeString(member.address(), out.address) &&
+           decodeString(member.peer_address(), out.peerAddress) && !out.name.empty() &&
+           !out.peerAddress.empty();
 }
 
 Offset<wire::ObjectVersion> encodeVersion(Builder &builder, const ObjectVersion &version)
@@ -93,8 +131,8 @@
 
 bool decodeVersion(const wire::ObjectVersion &version, ObjectVersion &out)
 {
-    out = {decodeString(version.key()), version.version()};
-    return !out.key.empty();
+    out.version = version.version();
+    return decodeString(version.key(), out.key) && !out.key.empty();
 }
 
 Offset<wire::StoredObject> encodeObject(Builder &builder, const StoredObject &object)
@@ -106,8 +144,9 @@
 
 bool decodeObject(const wire::StoredObject &object, StoredObject &out)
 {
-    out = {decodeString(object.key()), object.version(), decodeBytes(object.value())};
-    return !out.key.empty();
+    out.version = object.version();
+    out.value = decodeBytes(object.value());
+    return decodeString(object.key(), out.key) && !out.key.empty();
 }
 
 Offset<wire::Evidence> encodeEvidence(Builder &builder, const EvidenceRow &row)
@@ -125,15 +164,12 @@
 
 bool decodeEvidence(const wire::Evidence &row, EvidenceRow &out)
 {
-    out.daemon = decodeString(row.daemon());
     out.incarnation = row.incarnation();
-    out.service = decodeString(row.service());
-    out.version = decodeString(row.version());
     out.good = row.good();
     out.bad = row.bad();
-    if (row.latency_buckets())
-        out.latencyBuckets.assign(row.latency_buckets()->begin(), row.latency_buckets()->end());
-    return decodeKind(row.route(), out.route);
+    decodeNumbers(row.latency_buckets(), out.latencyBuckets);
+    return decodeString(row.daemon(), out.daemon) && decodeString(row.service(), out.service) &&
+           decodeString(row.version(), out.version) && decodeKind(row.route(), out.route);
 }
 
 Offset<wire::Stop> encodeStop(Builder &builder, const RolloutStop &stop)
@@ -144,9 +180,8 @@
 
 bool decodeStop(const wire::Stop &stop, RolloutStop &out)
 {
-    out = {decodeString(stop.service()), decodeString(stop.version()),
-           WallTime(std::chrono::microseconds(stop.by_us())), decodeString(stop.reason())};
-    return true;
+    return decodeString(stop.service(), out.service) && decodeString(stop.version(), out.version) &&
+           decodeTime(stop.by_us(), out.by) && decodeString(stop.reason(), out.reason);
 }
 
 Offset<wire::Gossip> encodeGossip(Builder &builder, const Gossip &gossip)
@@ -183,13 +218,10 @@
         out.failure = static_cast<SubFailure>(end.failure());
         return end.failure() <= static_cast<std::uint8_t>(SubFailure::Failed);
     }
-    out.answer = {end.id(),
-                  end.shard(),
-                  end.index_version(),
-                  end.documents(),
-                  decodeBytes(end.body()),
-                  std::chrono::microseconds(end.latency_us())};
-    return true;
+    out.answer = {
+            end.id(), end.shard(), end.index_version(), end.documents(), decodeBytes(end.body()),
+            {}};
+    return decodeSpan(end.latency_us(), out.answer.latency);
 }
 
 Offset<wire::UpstreamReport> encodeReport(Builder &builder, const UpstreamReport &report)
@@ -201,13 +233,12 @@
 
 bool decodeReport(const wire::UpstreamReport &report, UpstreamReport &out)
 {
-    out.address = decodeString(report.address());
     out.served = {report.oldest(), report.newest()};
     out.warmBootId = report.warm_boot_id();
     out.isDraining = report.draining();
     out.inFlight = report.in_flight();
-    out.latency = std::chrono::microseconds(report.latency_us());
-    return !out.address.empty();
+    return decodeString(report.address(), out.address) && !out.address.empty() &&
+           decodeSpan(report.latency_us(), out.latency);
 }
 
 /// Replicas of a batch repeat few addresses, so the frame carries each address once.
@@ -234,18 +265,23 @@
 
 bool decodeBatch(const wire::SubBatch &batch, PeerSubBatch &out)
 {
-    out.service = decodeString(batch.service());
     out.indexVersion = batch.index_version();
-    out.remaining = std::chrono::microseconds(batch.remaining_us());
     out.body = decodeBytes(batch.body());
-    if (!decodeKind(batch.kind(), out.kind) || !batch.requests() || !batch.addresses())
+    if (!decodeString(batch.service(), out.service) ||
+        !decodeSpan(batch.remaining_us(), out.remaining) || !decodeKind(batch.kind(), out.kind) ||
+        !batch.requests() || !batch.addresses())
         return false;
-    for (const wire::SubRequestRef *request : *batch.requests()) {
-        if (request->address() >= batch.addresses()->size())
+    for (std::size_t i = 0; i < batch.requests()->size(); ++i) {
+        // Copied for the same reason as in decodeNumbers().
+        wire::SubRequestRef request;
+        std::memcpy(&request, batch.requests()->Data() + i * sizeof(request), sizeof(request));
+        if (request.address() >= batch.addresses()->size())
+            return false;
+        PeerSubRequest &row = out.requests.emplace_back();
+        row.id = request.id();
+        row.shard = request.shard();
+        if (!decodeString(batch.addresses()->Get(request.address()), row.address))
             return false;
-        out.requests.push_back({request->id(),
-                                decodeString(batch.addresses()->Get(request->address())),
-                                request->shard()});
     }
     return true;
 }
@@ -329,9 +365,8 @@
     PeerHello out;
     if (!hello.self() || !decodeMember(*hello.self(), out.self))
         return std::nullopt;
-    out.cell = decodeString(hello.cell());
     out.plane = static_cast<PeerPlane>(hello.plane());
-    if (out.plane > PeerPlane::Data)
+    if (!decodeString(hello.cell(), out.cell) || out.plane > PeerPlane::Data)
         return std::nullopt;
     return out;
 }
@@ -346,16 +381,16 @@
 
 std::optional<PeerMessage> decodeAck(const wire::Ack &ack)
 {
-    PeerAck out{ack.sequence(), decodeString(ack.target()), {}};
-    if (!decodeGossip(ack.gossip(), out.gossip))
+    PeerAck out{ack.sequence(), {}, {}};
+    if (!decodeString(ack.target(), out.target) || !decodeGossip(ack.gossip(), out.gossip))
         return std::nullopt;
     return out;
 }
 
 std::optional<PeerMessage> decodePingRequest(const wire::PingRequest &request)
 {
-    PeerPingRequest out{request.sequence(), decodeString(request.target()), {}};
-    if (!decodeGossip(request.gossip(), out.gossip))
+    PeerPingRequest out{request.sequence(), {}, {}};
+    if (!decodeString(request.target(), out.target) || !decodeGossip(request.gossip(), out.gossip))
         return std::nullopt;
     return out;
 }
@@ -403,8 +438,15 @@
 PeerMessage decodeCancel(const wire::SubCancel &cancel)
 {
     PeerSubCancel out;
-    if (cancel.ids())
-        out.ids.assign(cancel.ids()->begin(), cancel.ids()->end());
+    decodeNumbers(cancel.ids(), out.ids);
+    return out;
+}
+
+std::optional<PeerMessage> decodeRelease(const wire::Release &release)
+{
+    PeerRelease out{{}, release.incarnation()};
+    if (!decodeString(release.daemon(), out.daemon))
+        return std::nullopt;
     return out;
 }
 
@@ -431,10 +473,8 @@
         return decodeCancel(*frame.body_as_SubCancel());
     case wire::Body::UpstreamReports:
         return decodeReports(*frame.body_as_UpstreamReports());
-    case wire::Body::Release: {
-        const auto *release = frame.body_as_Release();
-        return PeerRelease{decodeString(release->daemon()), release->incarnation()};
-    }
+    case wire::Body::Release:
+        return decodeRelease(*frame.body_as_Release());
     case wire::Body::NONE:
         break;
     }
