Wait for the right connections in the listener's test

The test failed 1 run in 20: connections that were just closed still counted until their sessions noticed, and stood in for the ones that take their place.

--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -385,7 +385,10 @@
         std::uint32_t mostOpen = 0;
         REQUIRE(eventually([&] {
             mostOpen = std::max(mostOpen, server.listener->openConnections());
-            return server.running() == open && server.listener->openConnections() == open;
+            // Without the count of searches, the connections that were just closed could still
+            // stand in for the ones that take their place.
+            return server.log.searches == finished + open && server.running() == open &&
+                   server.listener->openConnections() == open;
         }));
         CHECK(mostOpen <= limit);
         for (const auto &frontEnd : server.frontEnds)
