--- /dev/null
+++ b/examples/01-embed/embed.cpp
@@ -0,0 +1,29 @@
+#include <geraniumcart/manual_timer_service.h>
+#include <geraniumcart/rollout.h>
+#include <geraniumcart/rules.h>
+
+#include <iostream>
+#include <sstream>
+
+/// Reads a rules file from standard input and prints what its moves would do first.
+int main()
+{
+    std::ostringstream text;
+    text << std::cin.rdbuf();
+
+    geraniumcart::ParseError error;
+    const auto rules = geraniumcart::parseRules(text.str(), error);
+    if (!rules) {
+        std::cerr << "stdin:" << geraniumcart::describe(error) << '\n';
+        return 1;
+    }
+
+    geraniumcart::ManualTimerService timers;
+    geraniumcart::Rollout rollout({}, timers);
+    rollout.configure(*rules);
+    for (const geraniumcart::MoveStatus &move : rollout.statuses())
+        std::cout << move.rule.service << ": " << move.share * 100 << "% to " << move.rule.version
+                  << '\n';
+    std::cout << rules->zones.size() << " zones out, " << rules->limits.size() << " limits, "
+              << rules->classes.size() << " classes\n";
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -71,6 +71,11 @@
     for control in "${fleet_controls[@]}"; do curl -sf -o /dev/null -d "$1" "http://$control/control"; done
 }
 
+# fleet_publish: makes the searchers write their catalog and hosts to the store again.
+fleet_publish() {
+    for control in "${fleet_controls[@]}"; do curl -sf -o /dev/null -X POST "http://$control/control/store"; done
+}
+
 # fleet_count JQ: adds up a number from both searcher processes' counters.
 fleet_count() {
     for control in "${fleet_controls[@]}"; do curl -sf "http://$control/control"; done | jq -s "map($1 // 0) | add"
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -25,6 +25,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <map>
 #include <random>
 
 namespace geraniumcart {
@@ -37,6 +38,8 @@
 constexpr std::uint32_t AttemptReserve = 200;
 /// Interval at which a planned stop looks whether the last requests have ended.
 constexpr std::chrono::milliseconds StopPollInterval{20};
+/// Interval at which counters of searcher connections reach the metrics.
+constexpr std::chrono::milliseconds ExportInterval{500};
 
 } // namespace
 
@@ -82,6 +85,7 @@
     void beginStop();
     void drainCallers();
     void awaitLastCall();
+    void exportCounters();
     std::uint32_t runningCalls() const;
 
     const Settings m_settings;
@@ -102,6 +106,8 @@
     std::optional<PeerListener> m_peerListener;
     std::vector<std::unique_ptr<RequestPart>> m_requests;
     std::optional<CallerListener> m_callers;
+    /// What exportCounters() has added so far, by Counter.
+    std::map<Counter, std::uint64_t> m_exported;
     bool m_stopping = false;
 };
 
@@ -196,6 +202,7 @@
               {"address", m_callers->address()},
               {"peerAddress", m_hello.self.peerAddress}});
     m_control->start();
+    exportCounters();
     m_workers.start();
     m_callers->start();
     m_context.run();
@@ -203,6 +210,19 @@
     logEvent(LogLevel::Info, "stopped");
 }
 
+void Daemon::Parts::exportCounters()
+{
+    const UpstreamCounters &counters = m_pools.counters();
+    const auto add = [this](Counter counter, const std::atomic<std::uint64_t> &value) {
+        const std::uint64_t now = value.load(std::memory_order_relaxed);
+        m_stats.add(counter, now - std::exchange(m_exported[counter], now));
+    };
+    add(Counter::ConnectionsOpened, counters.connectionsOpened);
+    add(Counter::SilentConnections, counters.silentConnections);
+    add(Counter::ColdStarts, counters.coldStarts);
+    m_timers.schedule(ExportInterval, [this] { exportCounters(); });
+}
+
 void Daemon::Parts::stop()
 {
     asio::post(m_context, [this] { beginStop(); });
