--- /dev/null
+++ b/tests/snapshot_builder_test.cpp
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+
+#include <geraniumcart/ownership.h>
+#include <geraniumcart/snapshot_builder.h>
+
+#include <functional>
+#include <set>
+
+using namespace geraniumcart;
+
+namespace {
+
+constexpr std::uint32_t Shards = 4;
+constexpr std::uint32_t Replicas = 3;
+
+std::string zoneOf(std::uint32_t replica)
+{
+    return "z" + std::to_string(replica);
+}
+
+std::string addressOf(std::uint32_t shard, std::uint32_t replica)
+{
+    return "127.0.0.1:" + std::to_string(5000 + shard * Replicas + replica);
+}
+
+Member memberOf(std::uint32_t index, MemberState state = MemberState::Alive)
+{
+    return {"d" + std::to_string(index),
+            zoneOf(index % Replicas),
+            "127.0.0.1:" + std::to_string(6000 + index),
+            "127.0.0.1:" + std::to_string(7000 + index),
+            1,
+            state};
+}
+
+struct Routing
+{
+    UpstreamRegistry registry;
+    RoutingInputs inputs;
+
+    Routing()
+    {
+        for (std::uint32_t shard = 0; shard < Shards; ++shard)
+            for (std::uint32_t replica = 0; replica < Replicas; ++replica) {
+                const std::string address = addressOf(shard, replica);
+                inputs.hosts.searchers.push_back({address, "lend-front", zoneOf(replica), "h",
+                                                  shard, "v41", HostState::Live});
+                states.push_back(registry.obtain(address));
+                states.back()->setServed({5, 6});
+            }
+        inputs.catalogs["lend-front"] = {
+                "lend-front", {}, {{6, {10, 10, 10, 10}}, {5, {9, 9, 9, 9}}}};
+        inputs.hasRules = inputs.hasHosts = true;
+        inputs.selfName = "d0";
+        inputs.selfZone = "z0";
+        for (std::uint32_t i = 0; i < 6; ++i)
+            inputs.members.push_back(memberOf(i));
+    }
+
+    UpstreamState &state(std::uint32_t shard, std::uint32_t replica)
+    {
+        return *states[shard * Replicas + replica];
+    }
+
+    std::vector<std::shared_ptr<UpstreamState>> states;
+};
+
+} // namespace
+
+TEST_CASE("a snapshot routes only to searchers that may get work")
+{
+    struct Case
+    {
+        const char *failure;
+        std::function<void(Routing &)> change;
+        std::uint64_t indexVersion;
+        std::uint32_t covered;
+        std::size_t replicasOfShard0;
+    };
+    const auto row = GENERATE(values<Case>({
+            {"a healthy replica is left out", [](Routing &) {}, 6, 4, 3},
+            {"a zone that is out gets work",
+             [](Routing &routing) {
+                 routing.inputs.rules.zones = {{"z1", {}}};
+             },
+             6, 4, 2},
+            {"a draining searcher gets work",
+             [](Routing &routing) { routing.state(0, 0).setDraining(true); }, 6, 4, 2},
+            {"a leaving searcher gets work",
+             [](Routing &routing) { routing.inputs.hosts.searchers[0].state = HostState::Leaving; },
+             6, 4, 2},
+            {"a searcher without the version gets work",
+             [](Routing &routing) {
+                 routing.state(0, 2).setServed({5, 5});
+             },
+             6, 4, 2},
+            {"a version that some shard lacks is chosen",
+             [](Routing &routing) {
+                 for (std::uint32_t replica = 0; replica < Replicas; ++replica)
+                     routing.state(1, replica).setServed({5, 5});
+             },
+             5, 4, 3},
+            {"a shard without replicas counts as covered",
+             [](Routing &routing) {
+                 for (std::uint32_t replica = 0; replica < Replicas; ++replica)
+                     routing.state(1, replica).setServed({});
+             },
+             6, 3, 3},
+    }));
+    INFO(row.failure);
+
+    Routing routing;
+    row.change(routing);
+    const RoutingSnapshot snapshot = buildSnapshot(routing.inputs, routing.registry);
+    const IndexView &view = *snapshot.services.at("lend-front")->view;
+    CHECK(view.partitions.indexVersion == row.indexVersion);
+    CHECK(view.coveredShards == row.covered);
+    CHECK(view.replicas[0].size() == row.replicasOfShard0);
+}
+
+TEST_CASE("owners of a shard's replicas differ and agree on every daemon")
+{
+    struct Case
+    {
+        const char *failure;
+        std::function<void(std::vector<Member> &)> change;
+        std::size_t ownersOfShard;
+    };
+    const auto row = GENERATE(values<Case>({
+            {"replicas of a shard share an owner", [](std::vector<Member> &) {}, 3},
+            {"two members cannot own three replicas apart",
+             [](std::vector<Member> &members) { members.resize(2); }, 2},
+            {"a lone member owns nothing", [](std::vector<Member> &members) { members.resize(1); },
+             1},
+    }));
+    INFO(row.failure);
+
+    Routing routing;
+    std::vector<Member> members = routing.inputs.members;
+    row.change(members);
+    std::vector<SearcherEntry> searchers = routing.inputs.hosts.searchers;
+    const std::vector<std::uint32_t> owners = assignOwners(searchers, members);
+    for (std::uint32_t shard = 0; shard < Shards; ++shard) {
+        const auto first = owners.begin() + shard * Replicas;
+        CHECK(std::set(first, first + Replicas).size() == row.ownersOfShard);
+    }
+    // The order of the host list differs between daemons that read it at different times.
+    std::reverse(searchers.begin(), searchers.end());
+    const std::vector<std::uint32_t> reversed = assignOwners(searchers, members);
+    CHECK(std::equal(owners.begin(), owners.end(), reversed.rbegin()));
+}
+
+// Guards against a change of one member that moves searchers between the others.
+TEST_CASE("the loss of a member moves few searchers")
+{
+    const auto [failure, lost] = GENERATE(table<const char *, std::size_t>({
+            {"first member", 0},
+            {"last member", 5},
+    }));
+    INFO(failure);
+    Routing routing;
+    std::vector<Member> members = routing.inputs.members;
+    const auto before = assignOwners(routing.inputs.hosts.searchers, members);
+    std::vector<Member> rest = members;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+    const auto after = assignOwners(routing.inputs.hosts.searchers, rest);
+    std::size_t moved = 0;
+    for (std::size_t i = 0; i < before.size(); ++i)
+        moved += before[i] != lost && members[before[i]].name != rest[after[i]].name;
+    // A displaced replica may push another of its shard to the next owner, no more.
+    CHECK(moved <= before.size() / 4);
+}
+
+TEST_CASE("entries and owners follow members and zones")
+{
+    struct Case
+    {
+        const char *failure;
+        MemberState state;
+        bool isZoneOut;
+        bool isListed;
+        bool ownsSearchers;
+    };
+    const auto row = GENERATE(values<Case>({
+            {"an alive member is left out", MemberState::Alive, false, true, true},
+            {"a suspected member is listed or loses its searchers", MemberState::Suspect, false,
+             false, true},
+            {"a leaving member is listed or owns", MemberState::Leaving, false, false, false},
+            {"a dead member is listed or owns", MemberState::Dead, false, false, false},
+            {"a member of a zone that is out is listed or owns", MemberState::Alive, true, false,
+             false},
+    }));
+    INFO(row.failure);
+
+    Routing routing;
+    routing.inputs.members[4] = memberOf(4, row.state);
+    if (row.isZoneOut)
+        routing.inputs.rules.zones = {{"z1", {}}};
+    const RoutingSnapshot snapshot = buildSnapshot(routing.inputs, routing.registry);
+    const std::string address = memberOf(4).address;
+    CHECK(std::any_of(snapshot.entries.begin(), snapshot.entries.end(),
+                      [&](const EntryAddress &entry) { return entry.address == address; }) ==
+          row.isListed);
+    const auto &searchers = snapshot.services.at("lend-front")->searchers;
+    CHECK(std::any_of(searchers.begin(), searchers.end(), [](const Searcher &searcher) {
+              return searcher.owner == memberOf(4).peerAddress;
+          }) == row.ownsSearchers);
+}
