--- a/src/process/control_p.h
+++ b/src/process/control_p.h
@@ -114,6 +114,7 @@
     bool isServedEverywhere(const std::string &service, const std::string &version) const;
 
     void updateStatus();
+    void tickStatus();
     std::vector<std::string> warnings() const;
     bool isInForceEverywhere() const;
     bool isZoneIdle(const std::string &zone) const;
