Start admission from the slots that searchers have

The first and the least bound now follow the slots of the smallest shard divided by live members. A booking's answer that is not JSON no longer breaks the caller's.

--- a/include/geraniumcart/admission.h
+++ b/include/geraniumcart/admission.h
@@ -69,6 +69,9 @@
     /// Takes the rules in force and the number of daemons that share each limit. Requests that
     /// wait keep their place.
     virtual void configure(const RuleSet &rules, std::uint32_t liveMembers) = 0;
+    /// Says how many queries the searchers can run at once, over all daemons: the slots of the
+    /// shard that has fewest. 0 where that is not known.
+    virtual void setParallelism(std::uint32_t queries, std::uint32_t liveMembers) = 0;
     /// Calls @p done once, at once or when a place comes free. A request past its deadline is never
     /// admitted; one that cannot end in time by the observed service time is Overloaded at once.
     /// A class that no rule names counts as `default`.
--- a/src/connection/caller_response_codec.cpp
+++ b/src/connection/caller_response_codec.cpp
@@ -76,6 +76,20 @@
     out += '}';
 }
 
+/// Splices a searcher's answer to a booking. One that is not JSON must not break the caller's
+/// answer, since the booking has run; it is passed on as text.
+void appendResult(std::string &out, std::string_view value)
+{
+    boost::system::error_code error;
+    boost::json::parse(value, error);
+    if (value.empty())
+        out += "null";
+    else if (error)
+        appendString(out, value);
+    else
+        out += value;
+}
+
 std::string_view trimmed(std::string_view json)
 {
     constexpr std::string_view Blank = " \t\r\n";
@@ -198,7 +212,7 @@
         if (result.outcome == BookingOutcome::Done) {
             const std::string_view value = trimmed(result.body);
             out += ",\"result\":";
-            out += value.empty() ? "null" : value;
+            appendResult(out, value);
         } else {
             out += ",\"reason\":";
             appendString(out, result.reason);
--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -136,6 +136,11 @@
     ~WeightedAdmission() override { m_timers.cancel(m_sweepTimer); }
 
     void configure(const RuleSet &rules, std::uint32_t liveMembers) override;
+    void setParallelism(std::uint32_t queries, std::uint32_t liveMembers) override
+    {
+        if (queries > 0)
+            m_limit.setParallelism(static_cast<double>(queries) / std::max(liveMembers, 1U));
+    }
     void admit(AdmissionRequest request, Callback done) override;
     void finish(Duration latency, bool wasOverloaded) override;
     LimitReport report() const override;
@@ -332,6 +337,7 @@
     }
 
     void configure(const RuleSet &, std::uint32_t) override {}
+    void setParallelism(std::uint32_t, std::uint32_t) override {}
     void admit(AdmissionRequest request, Callback done) override
     {
         if (request.deadline <= m_timers.now())
--- a/src/process/concurrency_limit.cpp
+++ b/src/process/concurrency_limit.cpp
@@ -10,6 +10,8 @@
 constexpr double FirstLimit = 16;
 constexpr double MinLimit = 4;
 constexpr double MaxLimit = 4096;
+/// First bound as a multiple of what searchers run at once.
+constexpr double FirstQueue = 2;
 
 /// The bound settles where latency is this many times that of searchers without a queue. With a
 /// queue as long as the service time, slots stay busy while queries come in unevenly.
@@ -52,6 +54,7 @@
     : m_timers(timers)
     , m_limit(FirstLimit)
     , m_ceiling(MaxLimit)
+    , m_leastLimit(MinLimit)
     , m_lastProbe(probeNumber())
 {
     m_window.startedAt = timers.now();
@@ -59,10 +62,24 @@
 
 std::uint32_t ConcurrencyLimit::limit() const
 {
-    const double limit = m_isProbing ? std::max(MinLimit, m_limit * ProbeShare) : m_limit;
+    const double limit = m_isProbing ? std::max(m_leastLimit, m_limit * ProbeShare) : m_limit;
     return static_cast<std::uint32_t>(limit);
 }
 
+void ConcurrencyLimit::setParallelism(double queries)
+{
+    if (queries == m_parallelism)
+        return;
+    // Eight daemons that each start at FirstLimit would queue more than a second of work at
+    // searchers with six slots a shard, and would take that for the latency without a queue.
+    const bool isFirst = m_parallelism == 0;
+    m_parallelism = queries;
+    m_leastLimit = std::clamp(queries, 1.0, MinLimit);
+    if (isFirst)
+        m_limit = std::clamp(queries * FirstQueue, m_leastLimit, FirstLimit);
+    m_limit = std::max(m_limit, m_leastLimit);
+}
+
 std::int64_t ConcurrencyLimit::probeNumber() const
 {
     return m_timers.wallNow().time_since_epoch() / ProbeInterval;
@@ -165,7 +182,7 @@
     } else if (m_wasReached) {
         m_limit = m_isFirstRise ? m_limit * FirstRiseFactor
                                 : m_limit + std::max(1.0, m_limit * RiseShare);
-        m_limit = std::max(MinLimit, std::min(m_limit, m_ceiling));
+        m_limit = std::max(m_leastLimit, std::min(m_limit, m_ceiling));
     }
 }
 
@@ -190,7 +207,7 @@
 void ConcurrencyLimit::scale(double factor)
 {
     m_isFirstRise = false;
-    m_limit = std::max(MinLimit, m_limit * factor);
+    m_limit = std::max(m_leastLimit, m_limit * factor);
 }
 
 } // namespace geraniumcart
--- a/src/process/concurrency_limit_p.h
+++ b/src/process/concurrency_limit_p.h
@@ -18,6 +18,9 @@
     explicit ConcurrencyLimit(TimerService &timers);
 
     std::uint32_t limit() const;
+    /// Sets how many queries the searchers run at once for this daemon; may be below 1. The first
+    /// call replaces the first bound, and the least bound follows.
+    void setParallelism(double queries);
     /// Notes that a request had to wait because the bound was reached.
     void noteReached() { m_wasReached = true; }
     /// Notes the end of a request. @p running counts the requests that were running until then.
@@ -59,6 +62,8 @@
     TimerService &m_timers;
     double m_limit;
     double m_ceiling;
+    double m_leastLimit;
+    double m_parallelism = 0;
     Window m_window;
     bool m_wasReached = false;
     /// True until the bound was lowered for the first time; it rises faster until then.
--- a/src/process/shared_admission.cpp
+++ b/src/process/shared_admission.cpp
@@ -8,6 +8,26 @@
 
 namespace geraniumcart {
 
+namespace {
+
+/// Every query needs a slot in each shard, so the shard with fewest slots bounds them all.
+std::uint32_t slotsOfSmallestShard(const RoutingSnapshot &snapshot, const std::string &service)
+{
+    const auto found = snapshot.services.find(service);
+    if (found == snapshot.services.end() || !found->second->view)
+        return 0;
+    std::uint32_t fewest = 0;
+    for (const std::vector<std::uint32_t> &replicas : found->second->view->replicas) {
+        const auto slots =
+                static_cast<std::uint32_t>(replicas.size()) * found->second->limits.slots;
+        if (slots > 0 && (fewest == 0 || slots < fewest))
+            fewest = slots;
+    }
+    return fewest;
+}
+
+} // namespace
+
 class SharedAdmission::Directory final : public AdmissionDirectory
 {
 public:
@@ -118,6 +138,7 @@
         entry.policy = m_factory(home.timers);
     if (isNew || entry.generation != snapshot.generation) {
         entry.policy->configure(snapshot.rules, snapshot.liveMembers);
+        entry.policy->setParallelism(slotsOfSmallestShard(snapshot, service), snapshot.liveMembers);
         entry.generation = snapshot.generation;
     }
     return *entry.policy;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -367,3 +367,21 @@
     const OverloadResult result = measureOverload(AdmissionKind::Unlimited, {}, 2.0);
     CHECK(result.answeredPerSecond < 0.5 * 1000);
 }
+
+// Guards against eight daemons that together start with more than a second of queued work, and then
+// take its latency for that of searchers without a queue.
+TEST_CASE("the first bound follows what searchers run at once")
+{
+    const auto [failure, slots, members, expected] =
+            GENERATE(table<const char *, std::uint32_t, std::uint32_t, std::uint32_t>({
+                    {"unknown slots lower the bound", 0, 8, 16},
+                    {"eight daemons start as if each were alone", 6, 8, 1},
+                    {"a lone daemon starts too low", 6, 1, 12},
+                    {"many slots lift the first bound", 600, 8, 16},
+            }));
+    INFO(failure);
+    ManualTimerService timers;
+    const auto policy = makeAdmissionPolicy(AdmissionKind::Weighted, timers);
+    policy->setParallelism(slots, members);
+    CHECK(policy->report().concurrency == expected);
+}
--- a/tests/shared_admission_test.cpp
+++ b/tests/shared_admission_test.cpp
@@ -31,6 +31,7 @@
     {
         ++log.policies;
     }
+    void setParallelism(std::uint32_t, std::uint32_t) override {}
     void configure(const RuleSet &, std::uint32_t liveMembers) override
     {
         checkThread();
