--- a/tests/support/control_cell.h
+++ b/tests/support/control_cell.h
@@ -69,7 +69,7 @@
     /// Ends a daemon without farewell; its memory stays, since timers still refer to it.
     void stop(int index)
     {
-        retired.push_back(std::move(nodes.at(addressOf(index))));
+        m_retired.push_back(std::move(nodes.at(addressOf(index))));
         nodes.erase(addressOf(index));
     }
     void start(int index)
@@ -105,7 +105,7 @@
         });
     }
 
-    std::vector<std::unique_ptr<Node>> retired;
+    std::vector<std::unique_ptr<Node>> m_retired;
 };
 
 } // namespace geraniumcart::test
