--- a/include/geraniumcart/member.h
+++ b/include/geraniumcart/member.h
@@ -14,6 +14,8 @@
     Dead,
 };
 const char *toString(MemberState state);
+/// True while the member answers its peers.
+bool isPresent(MemberState state);
 
 /// A daemon as its peers know it.
 struct Member
--- a/src/connection/owner_sender.cpp
+++ b/src/connection/owner_sender.cpp
@@ -206,9 +206,14 @@
 PeerLink &OwnerSender::linkTo(const std::string &peerAddress)
 {
     std::shared_ptr<PeerLink> &link = m_links[peerAddress];
-    if (!link)
+    if (!link) {
         link = std::make_shared<PeerLink>(m_context, m_timers, peerAddress, m_hello);
-    return *link;
+        // Daemons are replaced every day, most at new addresses.
+        std::erase_if(m_links, [&](const auto &entry) {
+            return entry.first != peerAddress && entry.second->isIdle();
+        });
+    }
+    return *m_links[peerAddress];
 }
 
 void OwnerSender::send(std::span<const SubRequest> requests,
--- a/src/connection/owner_sender_p.h
+++ b/src/connection/owner_sender_p.h
@@ -31,6 +31,8 @@
               const std::shared_ptr<SubRequestListener> &listener);
     void cancel(SubRequestId id);
     void close();
+    /// True when there is neither a connection nor work.
+    bool isIdle() const { return !m_connection && m_pending.empty(); }
 
 private:
     struct Pending
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -30,12 +30,6 @@
 /// Interval at which a daemon that lacks configuration asks its peers again.
 constexpr std::chrono::milliseconds AskInterval{250};
 
-bool isPresent(MemberState state)
-{
-    return state == MemberState::Alive || state == MemberState::Suspect ||
-           state == MemberState::Leaving;
-}
-
 bool isSameForRouting(const UpstreamReport &a, const UpstreamReport &b)
 {
     return a.served == b.served && a.warmBootId == b.warmBootId && a.isDraining == b.isDraining;
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -18,6 +18,7 @@
 #include <geraniumcart/booking.h>
 #include <geraniumcart/config.h>
 #include <geraniumcart/hedging.h>
+#include <geraniumcart/invariants.h>
 #include <geraniumcart/metrics.h>
 #include <geraniumcart/search.h>
 #include <geraniumcart/snapshot.h>
@@ -258,6 +259,7 @@
         m_timers.schedule(StopPollInterval, [this] { awaitLastCall(); });
         return;
     }
+    checkInvariant(Invariant::GracefulStop, runningCalls() == 0, "a request is cut off");
     m_control->finishLeaving();
     // The farewell leaves with the next turns of the loop.
     m_timers.schedule(StopPollInterval, [this] { m_context.stop(); });
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -10,12 +10,6 @@
 /// Members carried by one message; about 100 bytes each keep a heartbeat below two kilobytes.
 constexpr std::size_t GossipMembers = 16;
 
-bool isPresent(MemberState state)
-{
-    return state == MemberState::Alive || state == MemberState::Suspect ||
-           state == MemberState::Leaving;
-}
-
 /// Order in which states of the same incarnation replace each other.
 int rankOf(MemberState state)
 {
@@ -36,6 +30,12 @@
 
 } // namespace
 
+bool isPresent(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect ||
+           state == MemberState::Leaving;
+}
+
 const char *toString(MemberState state)
 {
     switch (state) {
--- a/src/request/search_run.cpp
+++ b/src/request/search_run.cpp
@@ -190,6 +190,10 @@
 {
     const Attempt &attempt = m_attempts[index];
     const Searcher &searcher = m_service->searchers[attempt.replica];
+    checkInvariant(Invariant::ZoneOut, !m_snapshot->rules.isZoneOut(searcher.entry.zone),
+                   searcher.entry.address);
+    checkInvariant(Invariant::LeavingUpstream, searcher.entry.state == HostState::Live,
+                   searcher.entry.address);
     SubRequest request;
     request.id = m_baseId + index;
     request.service = m_service->name;
