--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -98,12 +98,6 @@
     m_membership.announceLeaving();
 }
 
-void Control::refuseNewWork()
-{
-    m_refusesNewWork = true;
-    requestRebuild();
-}
-
 void Control::finishLeaving()
 {
     m_membership.announceLeft();
@@ -492,8 +486,7 @@
 
 bool Control::isOwnZoneOutForLong() const
 {
-    return m_refusesNewWork ||
-           (m_zoneOutSince && m_context.timers.now() - *m_zoneOutSince >= EntriesValidFor);
+    return m_zoneOutSince && m_context.timers.now() - *m_zoneOutSince >= EntriesValidFor;
 }
 
 void Control::requestRebuild()
--- a/src/process/control_p.h
+++ b/src/process/control_p.h
@@ -67,8 +67,6 @@
     /// First step of a planned stop: peers stop listing this daemon and take over its searchers,
     /// while it still serves callers that keep an older list.
     void beginLeaving();
-    /// Second step: callers' lists have run out, so new work is refused.
-    void refuseNewWork();
     /// Last step: tells peers that this daemon is gone.
     void finishLeaving();
 
@@ -136,7 +134,6 @@
     /// Incarnation at the start; counts of answers begin anew with it.
     std::uint64_t m_startedAt = 0;
     std::optional<TimePoint> m_zoneOutSince;
-    bool m_refusesNewWork = false;
     /// Last states sent to peers and used for routing, by address.
     std::map<std::string, UpstreamReport, std::less<>> m_lastReports;
     TimePoint m_lastFullReport{};
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -240,7 +240,8 @@
 
 void Daemon::Parts::drainCallers()
 {
-    m_control->refuseNewWork();
+    // Requests that are already on their way are still served; each connection closes after its
+    // current answer.
     m_callers->drain();
     awaitLastCall();
 }
