--- a/include/geraniumcart/hedging.h
+++ b/include/geraniumcart/hedging.h
@@ -41,6 +41,12 @@
 
 enum class HedgingKind : std::uint8_t { Quantile, None };
 
-std::unique_ptr<HedgingPolicy> makeHedgingPolicy(HedgingKind kind);
+/// Share of sub-requests that answer before they are hedged. The rest, and second hedges of those,
+/// are 3.1% more load, which stays inside a budget of 5%.
+inline constexpr double DefaultHedgedQuantile = 0.97;
+
+/// @param quantile share of sub-requests that answer before they are hedged, 0 to 1
+std::unique_ptr<HedgingPolicy> makeHedgingPolicy(HedgingKind kind,
+                                                 double quantile = DefaultHedgedQuantile);
 
 } // namespace geraniumcart
--- a/include/geraniumcart/membership.h
+++ b/include/geraniumcart/membership.h
@@ -59,6 +59,8 @@
     void start();
     /// Sets where callers connect, once the port is known. Before start().
     void setAddress(const std::string &address) { m_config.self.address = address; }
+    /// Announces where callers connect, once this daemon can serve them.
+    void announceAddress(const std::string &address);
     /// Adds peers to join through, as the host list names them.
     void setSeeds(std::vector<std::string> seeds);
 
--- /dev/null
+++ b/include/geraniumcart/serving_view.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <geraniumcart/hedging.h>
+#include <geraniumcart/rcu_publisher.h>
+#include <geraniumcart/route_table.h>
+#include <geraniumcart/snapshot.h>
+#include <geraniumcart/upstream.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace geraniumcart {
+
+/// The searchers of one service that may get new requests.
+struct ServiceUpstreams
+{
+    ServiceProfile profile;
+    /// Paces what is sent beyond first attempts; the same object in every view.
+    std::shared_ptr<AttemptBudget> budget;
+    std::vector<std::shared_ptr<Upstream>> upstreams;
+};
+
+/// Everything a request needs to know, as of one moment. Immutable once published.
+struct ServingView
+{
+    /// Null before the first configuration is known.
+    std::shared_ptr<const RouteTable> routes;
+    std::map<std::string, ServiceUpstreams, std::less<>> services;
+    /// By name of the route; the same objects in every view.
+    std::map<std::string, std::shared_ptr<HedgingPolicy>, std::less<>> hedging;
+    /// Daemons that callers may connect to.
+    std::vector<EntryAddress> entries;
+    /// Daemons that may send to the same searchers, this one included.
+    std::uint32_t senders = 1;
+    /// True during a planned stop: answers ask callers to connect elsewhere.
+    bool isLeaving = false;
+
+    const ServiceUpstreams *find(std::string_view service) const
+    {
+        const auto found = services.find(service);
+        return found == services.end() ? nullptr : &found->second;
+    }
+};
+
+using ServingViewPin = RcuPin<ServingView>;
+using ServingViewPublisher = RcuPublisher<ServingView>;
+
+/// What operators and searchers say, from wherever it is kept. Calls come on the control thread.
+class FleetListener
+{
+public:
+    virtual ~FleetListener() = default;
+    virtual void onRoutes(RouteTable routes) = 0;
+    /// Replaces what was known of the searcher with this instance id.
+    virtual void onSearcher(const SearcherRecord &record) = 0;
+    virtual void onSearcherGone(const std::string &instanceId) = 0;
+    /// A complete list of searchers was read: those not in it are gone.
+    virtual void onSearcherList(const std::set<std::string> &instanceIds) = 0;
+    virtual void onZoneOut(const std::string &zone) = 0;
+    virtual void onZoneBack(const std::string &zone) = 0;
+    virtual void onZonesOut(const std::set<std::string> &zones) = 0;
+};
+
+/// What all daemons together may send beyond the first attempt of each request, for each service.
+struct RetryAllowance
+{
+    /// Share of the service's requests.
+    double share = 0.2;
+    /// Requests beyond that share in one window.
+    double extra = 0;
+};
+
+/// Keeps the newest state of the fleet and publishes a view after each change that matters to
+/// requests. Belongs to the control thread.
+class ServingViewBuilder final : public FleetListener
+{
+public:
+    ServingViewBuilder(TimerService &timers, ServingViewPublisher &publisher,
+                       const RetryAllowance &retries)
+        : m_timers(timers)
+        , m_publisher(publisher)
+        , m_retries(retries)
+    {
+    }
+
+    void onRoutes(RouteTable routes) override;
+    void onSearcher(const SearcherRecord &record) override;
+    void onSearcherGone(const std::string &instanceId) override;
+    void onSearcherList(const std::set<std::string> &instanceIds) override;
+    void onZoneOut(const std::string &zone) override;
+    void onZoneBack(const std::string &zone) override;
+    void onZonesOut(const std::set<std::string> &zones) override;
+
+    void setEntries(std::vector<EntryAddress> entries, std::uint32_t senders);
+    void setLeaving();
+    /// Called after each publication, on the control thread.
+    void setObserver(std::function<void()> observer) { m_observer = std::move(observer); }
+
+    bool hasRoutes() const { return m_routes != nullptr; }
+    bool hasSearchers() const { return m_hasSearchers; }
+
+private:
+    struct Entry
+    {
+        SearcherRecord record;
+        std::shared_ptr<Upstream> upstream;
+        /// Timer that removes the entry; 0 while the store lists it.
+        TimerId removal = 0;
+    };
+
+    void scheduleRemoval(const std::string &instanceId, Entry &entry);
+    std::shared_ptr<AttemptBudget> makeBudget() const;
+    void changed();
+    void publish();
+
+    TimerService &m_timers;
+    ServingViewPublisher &m_publisher;
+    const RetryAllowance m_retries;
+    std::function<void()> m_observer;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::map<std::string, Entry> m_searchers;
+    std::map<std::string, std::shared_ptr<AttemptBudget>, std::less<>> m_budgets;
+    std::map<std::string, std::shared_ptr<HedgingPolicy>, std::less<>> m_hedging;
+    std::set<std::string> m_zonesOut;
+    std::vector<EntryAddress> m_entries;
+    std::uint32_t m_senders = 1;
+    bool m_hasSearchers = false;
+    bool m_isLeaving = false;
+    bool m_isPublishDue = false;
+};
+
+} // namespace geraniumcart
--- a/include/geraniumcart/snapshot.h
+++ b/include/geraniumcart/snapshot.h
@@ -2,17 +2,16 @@
 
 #include <geraniumcart/answer_evidence.h>
 #include <geraniumcart/catalog.h>
+#include <geraniumcart/rcu_publisher.h>
 #include <geraniumcart/rules.h>
 #include <geraniumcart/upstream_state.h>
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace geraniumcart {
@@ -91,54 +90,9 @@
     bool isLeaving = false;
 };
 
-class SnapshotPublisher;
-
-/// Keeps one snapshot alive. Cheap to move; taking one costs an atomic increment.
-class SnapshotPin
-{
-public:
-    SnapshotPin() = default;
-    SnapshotPin(SnapshotPin &&other) noexcept
-        : m_box(std::exchange(other.m_box, nullptr))
-    {
-    }
-    SnapshotPin &operator=(SnapshotPin &&other) noexcept;
-    SnapshotPin(const SnapshotPin &other);
-    SnapshotPin &operator=(const SnapshotPin &other);
-    ~SnapshotPin();
-
-    explicit operator bool() const { return m_box != nullptr; }
-    const RoutingSnapshot &operator*() const;
-    const RoutingSnapshot *operator->() const { return &**this; }
-
-private:
-    friend class SnapshotPublisher;
-    struct Box;
-    explicit SnapshotPin(Box *box)
-        : m_box(box)
-    {
-    }
-    void release();
-
-    Box *m_box = nullptr;
-};
-
-/// Publishes snapshots by read-copy-update. pin() may be called from any thread and never waits;
-/// publish() belongs to one thread.
-class SnapshotPublisher
-{
-public:
-    SnapshotPublisher();
-    ~SnapshotPublisher();
-    SnapshotPublisher(const SnapshotPublisher &) = delete;
-    SnapshotPublisher &operator=(const SnapshotPublisher &) = delete;
-
-    void publish(RoutingSnapshot snapshot);
-    /// The snapshot in force; an empty one before the first publish().
-    SnapshotPin pin() const;
-
-private:
-    SnapshotPin::Box *m_current = nullptr;
-};
+/// Keeps one snapshot alive.
+using SnapshotPin = RcuPin<RoutingSnapshot>;
+/// Publishes snapshots to all workers; an empty one is in force before the first publish().
+using SnapshotPublisher = RcuPublisher<RoutingSnapshot>;
 
 } // namespace geraniumcart
--- /dev/null
+++ b/include/geraniumcart/upstream_choice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <geraniumcart/serving_view.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+
+namespace geraniumcart {
+
+/// Connections that one worker may hold to one searcher of @p profile. The sum over all daemons
+/// stays under the searcher's limit, also while a few daemons join.
+std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t senders);
+
+/// Least time between two requests of one daemon to one cold searcher of @p profile. The sum over
+/// all daemons stays under what the searcher bears. Zero sets no bound.
+Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders);
+
+/// Picks the searcher that is expected to answer first. Answers the load that other daemons cause
+/// and pauses of a searcher by what this daemon sees: latency, work under way, silence.
+class UpstreamChoice
+{
+public:
+    /// @param zone searchers of this availability zone are nearer
+    UpstreamChoice(std::string zone, std::uint64_t seed)
+        : m_zone(std::move(zone))
+        , m_random(seed)
+    {
+    }
+
+    /// @param isUsable tells whether a candidate may be used now
+    /// @return null if no candidate is usable
+    std::shared_ptr<Upstream> choose(std::span<const std::shared_ptr<Upstream>> candidates,
+                                     TimePoint now,
+                                     const std::function<bool(const Upstream &)> &isUsable);
+
+private:
+    const std::string m_zone;
+    std::mt19937_64 m_random;
+};
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/connection/caller_handler.cpp
@@ -0,0 +1,31 @@
+#include "connection/caller_handler_p.h"
+
+#include <utility>
+#include <variant>
+
+namespace geraniumcart {
+
+CallId FrontEndHandler::handle(HttpRequest request, TimePoint arrival, Callback done)
+{
+    ResponseFraming framing;
+    auto decoded = decodeCallerRequest(std::move(request), arrival, framing);
+    if (auto *refusal = std::get_if<Refusal>(&decoded)) {
+        done(encodeCallerResponse({std::move(*refusal)}, framing));
+        return 0;
+    }
+    return m_frontEnd.handle(std::get<CallerRequest>(std::move(decoded)),
+                             [framing, done = std::move(done)](const CallerResponse &response) {
+                                 ResponseFraming answered = framing;
+                                 answered.keepAlive &= !response.shouldClose;
+                                 done(encodeCallerResponse(response, answered));
+                             });
+}
+
+HttpResponse FrontEndHandler::refuse(const Refusal &refusal)
+{
+    ResponseFraming framing;
+    framing.keepAlive = false;
+    return encodeCallerResponse({refusal}, framing);
+}
+
+} // namespace geraniumcart
--- a/src/connection/caller_listener.cpp
+++ b/src/connection/caller_listener.cpp
@@ -16,10 +16,29 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-CallerListener::CallerListener(WorkerPool &workers, std::vector<FrontEnd *> frontEnds,
+namespace {
+
+std::vector<std::unique_ptr<CallerHandler>> handlersOf(const std::vector<FrontEnd *> &frontEnds)
+{
+    std::vector<std::unique_ptr<CallerHandler>> handlers;
+    for (FrontEnd *frontEnd : frontEnds)
+        handlers.push_back(std::make_unique<FrontEndHandler>(*frontEnd));
+    return handlers;
+}
+
+} // namespace
+
+CallerListener::CallerListener(WorkerPool &workers, const std::vector<FrontEnd *> &frontEnds,
+                               CallerListenerOptions options)
+    : CallerListener(workers, handlersOf(frontEnds), std::move(options))
+{
+}
+
+CallerListener::CallerListener(WorkerPool &workers,
+                               std::vector<std::unique_ptr<CallerHandler>> handlers,
                                CallerListenerOptions options)
     : m_workers(workers)
-    , m_frontEnds(std::move(frontEnds))
+    , m_handlers(std::move(handlers))
     , m_options(std::move(options))
     , m_acceptor(workers.worker(0).context)
     , m_shares(workers.size())
@@ -150,7 +169,7 @@
 {
     Share &share = m_shares[worker.index];
     auto session = std::make_shared<CallerSession>(
-            std::move(socket), worker.timers, *m_frontEnds[worker.index], m_options.limits,
+            std::move(socket), worker.timers, *m_handlers[worker.index], m_options.limits,
             [this, &worker](CallerSession &closed) { onSessionClosed(worker, closed); });
     share.sessions.insert(session);
     session->start();
--- a/src/connection/caller_listener_p.h
+++ b/src/connection/caller_listener_p.h
@@ -28,8 +28,12 @@
 class CallerListener
 {
 public:
+    /// Serves geraniumcart's own interface.
     /// @param frontEnds one for each worker, in the order of the workers
-    CallerListener(WorkerPool &workers, std::vector<FrontEnd *> frontEnds,
+    CallerListener(WorkerPool &workers, const std::vector<FrontEnd *> &frontEnds,
+                   CallerListenerOptions options);
+    /// @param handlers one for each worker, in the order of the workers
+    CallerListener(WorkerPool &workers, std::vector<std::unique_ptr<CallerHandler>> handlers,
                    CallerListenerOptions options);
     ~CallerListener();
     CallerListener(const CallerListener &) = delete;
@@ -67,7 +71,7 @@
     void onSessionClosed(Worker &worker, CallerSession &session);
 
     WorkerPool &m_workers;
-    const std::vector<FrontEnd *> m_frontEnds;
+    const std::vector<std::unique_ptr<CallerHandler>> m_handlers;
     const CallerListenerOptions m_options;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address;
--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -29,11 +29,11 @@
 } // namespace
 
 CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, TimerService &timers,
-                             FrontEnd &frontEnd, const CallerLimits &limits,
+                             CallerHandler &handler, const CallerLimits &limits,
                              ClosedCallback onClosed)
     : m_socket(std::move(socket))
     , m_timers(timers)
-    , m_frontEnd(frontEnd)
+    , m_handler(handler)
     , m_limits(limits)
     , m_onClosed(std::move(onClosed))
 {
@@ -94,7 +94,7 @@
     if (m_state == State::Writing && error == boost::asio::error::eof)
         return;
     if (m_state == State::Running)
-        m_frontEnd.abandon(std::exchange(m_call, 0));
+        m_handler.abandon(std::exchange(m_call, 0));
     close();
 }
 
@@ -106,6 +106,8 @@
     }
     m_state = State::Idle;
     m_isHeaderSeen = false;
+    if (const auto limits = m_handler.limits())
+        m_limits = *limits;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     m_parser->body_limit(m_limits.bodyBytes);
@@ -172,18 +174,17 @@
 void CallerSession::refuseUnparsed(error_code error)
 {
     // Where the next request would start is unknown, so the connection cannot be kept.
-    m_framing = {};
-    m_framing.keepAlive = false;
     if (error == http::error::header_limit)
-        respond({makeRefusal(RefusalKind::HeaderTooLarge,
-                             "the header is longer than " + std::to_string(m_limits.headerBytes) +
-                                     " bytes")});
+        respond(m_handler.refuse(makeRefusal(
+                RefusalKind::HeaderTooLarge,
+                "the header is longer than " + std::to_string(m_limits.headerBytes) + " bytes")));
     else if (error == http::error::body_limit)
-        respond({makeRefusal(RefusalKind::BodyTooLarge, "the body is longer than " +
-                                                                std::to_string(m_limits.bodyBytes) +
-                                                                " bytes")});
+        respond(m_handler.refuse(makeRefusal(
+                RefusalKind::BodyTooLarge,
+                "the body is longer than " + std::to_string(m_limits.bodyBytes) + " bytes")));
     else
-        respond({makeRefusal(RefusalKind::BadRequest, "malformed request: " + error.message())});
+        respond(m_handler.refuse(
+                makeRefusal(RefusalKind::BadRequest, "malformed request: " + error.message())));
 }
 
 void CallerSession::dispatch()
@@ -191,23 +192,18 @@
     disarm();
     m_state = State::Running;
     const std::uint64_t sequence = ++m_sequence;
-    auto decoded = decodeCallerRequest(m_parser->release(), m_arrival, m_framing);
-    if (auto *refusal = std::get_if<Refusal>(&decoded)) {
-        respond({std::move(*refusal)});
-        return;
-    }
     const CallId call =
-            m_frontEnd.handle(std::get<CallerRequest>(std::move(decoded)),
-                              [weak = weak_from_this(), sequence](const CallerResponse &response) {
-                                  if (const auto self = weak.lock())
-                                      self->onAnswer(sequence, response);
-                              });
+            m_handler.handle(m_parser->release(), m_arrival,
+                             [weak = weak_from_this(), sequence](HttpResponse response) {
+                                 if (const auto self = weak.lock())
+                                     self->onAnswer(sequence, std::move(response));
+                             });
     if (m_state == State::Running)
         m_call = call;
     readMore();
 }
 
-void CallerSession::onAnswer(std::uint64_t sequence, const CallerResponse &response)
+void CallerSession::onAnswer(std::uint64_t sequence, HttpResponse response)
 {
     if (m_state == State::Closed)
         return;
@@ -215,15 +211,15 @@
                         "an answer came for another request than the one that runs"))
         return;
     m_call = 0;
-    respond(response);
+    respond(std::move(response));
 }
 
-void CallerSession::respond(const CallerResponse &response)
+void CallerSession::respond(HttpResponse response)
 {
     m_state = State::Writing;
-    if (m_isDraining || response.shouldClose)
-        m_framing.keepAlive = false;
-    m_response = encodeCallerResponse(response, m_framing);
+    if (m_isDraining)
+        response.keep_alive(false);
+    m_response = std::move(response);
     arm(m_limits.writeTimeout);
     if (!m_isContinuing)
         write();
@@ -238,12 +234,13 @@
 
 void CallerSession::onWritten(error_code error)
 {
+    const bool isKept = m_response->keep_alive();
     m_response.reset();
     if (m_state == State::Closed)
         return;
     if (error)
         close();
-    else if (!m_framing.keepAlive)
+    else if (!isKept)
         linger();
     else
         awaitRequest();
@@ -308,9 +305,8 @@
         linger();
         return;
     case State::Reading:
-        m_framing = {};
-        m_framing.keepAlive = false;
-        respond({makeRefusal(RefusalKind::RequestTimeout, "the request did not end in time")});
+        respond(m_handler.refuse(
+                makeRefusal(RefusalKind::RequestTimeout, "the request did not end in time")));
         return;
     case State::Writing:
     case State::Lingering:
--- a/src/connection/caller_session_p.h
+++ b/src/connection/caller_session_p.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "connection/caller_codec_p.h"
+#include "connection/caller_handler_p.h"
 
-#include <geraniumcart/config.h>
-#include <geraniumcart/front_end.h>
 #include <geraniumcart/timer_service.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,18 +17,6 @@
 
 namespace geraniumcart {
 
-/// What one caller's connection may use.
-struct CallerLimits
-{
-    std::size_t headerBytes = MaxHeaderBytes;
-    std::size_t bodyBytes = MaxBodyBytes;
-    Duration idleTimeout = CallerIdleTimeout;
-    Duration readTimeout = CallerReadTimeout;
-    Duration writeTimeout = CallerWriteTimeout;
-    Duration lingerTimeout = CallerLingerTimeout;
-    Duration drainGrace = CallerDrainGrace;
-};
-
 /// One caller's connection. Requests are handled one after the other; what the caller pipelines
 /// waits. Reading goes on while a request runs, so that the end of the connection is noticed; a
 /// caller that ends its sending side counts as gone. Belongs to one worker.
@@ -40,7 +26,7 @@
     using ClosedCallback = std::function<void(CallerSession &)>;
 
     /// @param onClosed called once, when the connection has been closed
-    CallerSession(boost::asio::ip::tcp::socket socket, TimerService &timers, FrontEnd &frontEnd,
+    CallerSession(boost::asio::ip::tcp::socket socket, TimerService &timers, CallerHandler &handler,
                   const CallerLimits &limits, ClosedCallback onClosed);
 
     void start();
@@ -77,8 +63,8 @@
     void sendContinue();
     void refuseUnparsed(boost::system::error_code error);
     void dispatch();
-    void onAnswer(std::uint64_t sequence, const CallerResponse &response);
-    void respond(const CallerResponse &response);
+    void onAnswer(std::uint64_t sequence, HttpResponse response);
+    void respond(HttpResponse response);
     void write();
     void onWritten(boost::system::error_code error);
     void linger();
@@ -90,8 +76,8 @@
 
     boost::asio::ip::tcp::socket m_socket;
     TimerService &m_timers;
-    FrontEnd &m_frontEnd;
-    const CallerLimits m_limits;
+    CallerHandler &m_handler;
+    CallerLimits m_limits;
     ClosedCallback m_onClosed;
 
     State m_state = State::Idle;
@@ -109,7 +95,6 @@
     std::optional<Parser> m_parser;
     TimePoint m_arrival{};
 
-    ResponseFraming m_framing;
     /// Counts requests, so that an answer is matched with its request.
     std::uint64_t m_sequence = 0;
     CallId m_call = 0;
--- /dev/null
+++ b/src/connection/gateway_handler.cpp
@@ -0,0 +1,205 @@
+#include "connection/gateway_handler_p.h"
+
+#include "connection/forwarded_headers_p.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace geraniumcart {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr unsigned HttpVersion = 11;
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<Duration> parseMilliseconds(std::string_view text)
+{
+    std::int64_t count = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (error != std::errc() || end != text.data() + text.size() || count < 0)
+        return std::nullopt;
+    return std::min<Duration>(std::chrono::milliseconds(count), MaxDeadline);
+}
+
+std::string hostOf(std::string_view field)
+{
+    std::string host(field.substr(0, field.find(':')));
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return host;
+}
+
+/// Seconds with three decimals.
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text;
+    const double seconds = std::chrono::duration<double>(duration).count();
+    const int size = std::snprintf(text.data(), text.size(), "%.3f", seconds);
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+HttpResponse textResponse(http::status status, std::string_view text)
+{
+    HttpResponse response(status, HttpVersion);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = text;
+    response.prepare_payload();
+    return response;
+}
+
+http::status statusOf(RefusalKind kind)
+{
+    switch (kind) {
+    case RefusalKind::HeaderTooLarge:
+        return http::status::request_header_fields_too_large;
+    case RefusalKind::BodyTooLarge:
+        return http::status::payload_too_large;
+    case RefusalKind::RequestTimeout:
+        return http::status::request_timeout;
+    default:
+        return http::status::bad_request;
+    }
+}
+
+} // namespace
+
+std::optional<CallerLimits> GatewayHandler::limits() const
+{
+    const ServingViewPin view = m_gateway.view();
+    if (!view->routes)
+        return std::nullopt;
+    const CallerBounds &bounds = view->routes->callers;
+    CallerLimits limits;
+    limits.headerBytes = bounds.headerBytes;
+    limits.bodyBytes = bounds.bodyBytes;
+    limits.readTimeout = bounds.headerTimeout;
+    limits.idleTimeout = bounds.idleTimeout;
+    return limits;
+}
+
+std::optional<RoutedRequest> GatewayHandler::decode(HttpRequest &request, TimePoint arrival,
+                                                    std::string &reason) const
+{
+    auto forward = std::make_shared<ForwardRequest>();
+    RoutedRequest routed;
+    routed.arrival = arrival;
+    routed.host = hostOf(view(request[http::field::host]));
+    forward->id = view(request[m_names.requestId]);
+    if (routed.host.empty() || request.count(http::field::host) != 1) {
+        reason = "exactly one Host field is needed";
+        return std::nullopt;
+    }
+    if (forward->id.empty() || request.count(m_names.requestId) != 1) {
+        reason = "exactly one " + m_names.requestId + " field is needed";
+        return std::nullopt;
+    }
+    if (const auto deadline = request.find(m_names.deadline); deadline != request.end()) {
+        routed.callerWaits = parseMilliseconds(view(deadline->value()));
+        if (!routed.callerWaits) {
+            reason = m_names.deadline + " is not a number of milliseconds";
+            return std::nullopt;
+        }
+    }
+    if (request.target().empty() || request.target().front() != '/') {
+        reason = "the target is not a path";
+        return std::nullopt;
+    }
+    forward->method = view(request.method_string());
+    forward->target = view(request.target());
+    forward->hasBody = request.find(http::field::content_length) != request.end() ||
+                       request.find(http::field::transfer_encoding) != request.end();
+    http::token_list connectionOnly{request[http::field::connection]};
+    for (const auto &field : request) {
+        const beast::string_view name = field.name_string();
+        if (isHopByHop(field.name(), view(name)) || connectionOnly.exists(name) ||
+            beast::iequals(name, m_names.deadline) ||
+            beast::iequals(name, m_names.expectedInstance))
+            continue;
+        forward->headers.push_back({std::string(view(name)), std::string(view(field.value()))});
+    }
+    forward->body = std::move(request.body());
+    routed.forward = std::move(forward);
+    return routed;
+}
+
+CallId GatewayHandler::handle(HttpRequest request, TimePoint arrival, Callback done)
+{
+    const bool isKept = request.keep_alive();
+    std::string reason;
+    std::optional<RoutedRequest> routed = decode(request, arrival, reason);
+    if (!routed) {
+        HttpResponse response = textResponse(http::status::bad_request, reason);
+        response.keep_alive(isKept);
+        done(std::move(response));
+        return 0;
+    }
+    return m_gateway.handle(std::move(*routed),
+                            [this, isKept, done = std::move(done)](RoutedAnswer answer) {
+                                const bool shouldClose = answer.shouldClose;
+                                HttpResponse response = encode(std::move(answer));
+                                response.keep_alive(isKept && !shouldClose);
+                                done(std::move(response));
+                            });
+}
+
+HttpResponse GatewayHandler::refuse(const Refusal &refusal)
+{
+    HttpResponse response = textResponse(statusOf(refusal.kind), refusal.reason);
+    response.keep_alive(false);
+    return response;
+}
+
+HttpResponse GatewayHandler::encode(RoutedAnswer answer) const
+{
+    switch (answer.status) {
+    case RoutedStatus::Reply: {
+        HttpResponse response;
+        response.version(HttpVersion);
+        response.result(answer.reply.status);
+        response.reason(answer.reply.reason);
+        for (const HeaderField &field : answer.reply.headers)
+            response.insert(field.name, field.value);
+        response.body() = std::move(answer.reply.body);
+        response.prepare_payload();
+        return response;
+    }
+    case RoutedStatus::Merged: {
+        HttpResponse response(http::status::ok, HttpVersion);
+        std::string signatures;
+        for (const std::string &signature : answer.signatures)
+            signatures.append(signatures.empty() ? "" : ", ").append(signature);
+        response.set(http::field::content_type, "application/octet-stream");
+        response.set(m_names.signatures, signatures);
+        response.set(m_names.missingShards, std::to_string(answer.missingShards));
+        response.body() = std::move(answer.body);
+        response.prepare_payload();
+        return response;
+    }
+    case RoutedStatus::NoRoute:
+        return textResponse(http::status::not_found, "no route");
+    case RoutedStatus::Refused:
+    case RoutedStatus::NotReady: {
+        HttpResponse response = textResponse(http::status::service_unavailable, "not run");
+        response.set(http::field::retry_after, secondsText(answer.retryAfter));
+        return response;
+    }
+    case RoutedStatus::Failed:
+        return textResponse(http::status::bad_gateway, "no whole answer came");
+    case RoutedStatus::TimedOut:
+        return textResponse(http::status::gateway_timeout, "no answer in time");
+    }
+    return textResponse(http::status::internal_server_error, "unknown outcome");
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/connection/upstream_link.cpp
@@ -0,0 +1,303 @@
+#include "connection/upstream_link_p.h"
+
+#include "connection/forwarded_headers_p.h"
+
+#include <geraniumcart/config.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <charconv>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Largest head of an answer, in bytes.
+constexpr std::uint32_t MaxHeadBytes = 16 * 1024;
+constexpr unsigned MisdirectedRequest = 421;
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Reads `timeout=N` of a Keep-Alive field, in seconds.
+std::optional<Duration> parseKeepAlive(std::string_view value)
+{
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t at = value.find(Name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = value.substr(at + Name.size());
+    std::uint32_t count = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), count);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(count);
+}
+
+} // namespace
+
+/// Collects one answer.
+class UpstreamLink::Parser final : public http::basic_parser<false>
+{
+public:
+    explicit Parser(const UpstreamHeaderNames &names)
+        : m_names(names)
+    {
+        header_limit(MaxHeadBytes);
+        body_limit(MaxAnswerBytes);
+        eager(true);
+    }
+
+    UpstreamReply reply;
+    std::string requestId;
+    std::optional<Duration> keepAliveTime;
+
+private:
+    void on_request_impl(http::verb, beast::string_view, beast::string_view, int,
+                         error_code &) override
+    {
+    }
+    void on_response_impl(int status, beast::string_view reason, int, error_code &) override
+    {
+        reply.status = static_cast<std::uint32_t>(status);
+        reply.reason = view(reason);
+        reply.isNotRun = reply.isOtherInstance = reply.status == MisdirectedRequest;
+    }
+    void on_field_impl(http::field field, beast::string_view name, beast::string_view value,
+                       error_code &) override
+    {
+        if (field == http::field::keep_alive)
+            keepAliveTime = parseKeepAlive(view(value));
+        if (beast::iequals(name, m_names.requestId))
+            requestId = view(value);
+        else if (beast::iequals(name, m_names.signature))
+            reply.signature = view(value);
+        else if (beast::iequals(name, m_names.notRun))
+            reply.isNotRun = true;
+        else if (beast::iequals(name, m_names.load))
+            return;
+        if (!isHopByHop(field, view(name)))
+            reply.headers.push_back({std::string(view(name)), std::string(view(value))});
+    }
+    void on_header_impl(error_code &) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t> &size, error_code &) override
+    {
+        if (size && *size <= MaxAnswerBytes)
+            reply.body.reserve(*size);
+    }
+    std::size_t on_body_impl(beast::string_view body, error_code &) override
+    {
+        reply.body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code &) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
+                                   error_code &error) override
+    {
+        if (reply.body.size() + body.size() > MaxAnswerBytes) {
+            error = http::error::body_limit;
+            return 0;
+        }
+        reply.body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_finish_impl(error_code &) override {}
+
+    const UpstreamHeaderNames &m_names;
+};
+
+UpstreamLink::UpstreamLink(asio::io_context &context, const UpstreamHeaderNames &names,
+                           UpstreamLinkListener &listener)
+    : m_socket(context)
+    , m_names(names)
+    , m_listener(&listener)
+{
+}
+
+UpstreamLink::~UpstreamLink() = default;
+
+std::optional<Duration> UpstreamLink::keepAlive() const
+{
+    return m_keepAlive;
+}
+
+void UpstreamLink::open(const asio::ip::tcp::endpoint &endpoint)
+{
+    m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+        if (!self->m_listener)
+            return;
+        error_code failed = error;
+        if (!failed)
+            self->m_socket.non_blocking(true, failed);
+        if (failed) {
+            self->lose(ExchangeFailure::NotSent);
+            return;
+        }
+        error_code ignored;
+        self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->read();
+        self->m_listener->onLinkOpen(*self);
+    });
+}
+
+void UpstreamLink::encode(const ForwardRequest &request, const std::string &instanceId,
+                          Duration remaining)
+{
+    m_out.clear();
+    m_out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const HeaderField &field : request.headers)
+        m_out.append(field.name).append(": ").append(field.value).append("\r\n");
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(remaining).count();
+    m_out.append(m_names.deadline)
+            .append(": ")
+            .append(std::to_string(std::max<std::int64_t>(left, 1)));
+    m_out.append("\r\n").append(m_names.expectedInstance).append(": ").append(instanceId);
+    m_out.append("\r\n");
+    if (request.hasBody)
+        m_out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    m_out.append("\r\n").append(request.body);
+}
+
+bool UpstreamLink::start(const ForwardRequest &request, const std::string &instanceId,
+                         Duration remaining)
+{
+    encode(request, instanceId, remaining);
+    m_requestId = request.id;
+    m_isHead = request.method == "HEAD";
+    // One call that does not block tells exactly whether any byte was accepted.
+    error_code error;
+    const std::size_t written = m_socket.write_some(asio::buffer(m_out), error);
+    if (error || written == 0) {
+        close();
+        return false;
+    }
+    m_parser = std::make_unique<Parser>(m_names);
+    m_parser->skip(m_isHead);
+    if (written < m_out.size())
+        writeRest(written);
+    return true;
+}
+
+void UpstreamLink::writeRest(std::size_t offset)
+{
+    m_isWriting = true;
+    asio::async_write(m_socket, asio::buffer(m_out) + offset,
+                      [self = shared_from_this()](const error_code &error, std::size_t) {
+                          self->m_isWriting = false;
+                          // An answer may have come before the body was taken; reading finds out.
+                          if (error && self->m_listener && self->m_unparsed.empty() &&
+                              error != asio::error::broken_pipe &&
+                              error != asio::error::connection_reset)
+                              self->lose(ExchangeFailure::Lost);
+                      });
+}
+
+void UpstreamLink::close()
+{
+    m_listener = nullptr;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void UpstreamLink::read()
+{
+    m_socket.async_read_some(
+            asio::buffer(m_incoming),
+            [self = shared_from_this()](const error_code &error, std::size_t size) {
+                if (self->m_listener)
+                    self->onRead(error, size);
+            });
+}
+
+void UpstreamLink::onRead(const error_code &error, std::size_t size)
+{
+    if (error) {
+        // An answer without a length ends with its connection; after a reset it is not whole.
+        if (error == asio::error::eof && m_parser && m_parser->need_eof()) {
+            error_code ended;
+            m_parser->put_eof(ended);
+            if (!ended && m_parser->is_done()) {
+                m_isTainted = true;
+                onMessage();
+                return;
+            }
+        }
+        lose(ExchangeFailure::Lost);
+        return;
+    }
+    if (!m_parser) {
+        // Bytes without a request belong to nothing; where the next answer starts is unknown.
+        lose(ExchangeFailure::Malformed);
+        return;
+    }
+    m_unparsed.append(m_incoming.data(), size);
+    parse();
+}
+
+void UpstreamLink::parse()
+{
+    while (m_parser && !m_unparsed.empty()) {
+        std::size_t used = 0;
+        error_code error;
+        while (used < m_unparsed.size() && !m_parser->is_done()) {
+            const std::size_t taken = m_parser->put(
+                    asio::buffer(m_unparsed.data() + used, m_unparsed.size() - used), error);
+            used += taken;
+            if (error || taken == 0)
+                break;
+        }
+        m_unparsed.erase(0, used);
+        if (error && error != http::error::need_more) {
+            lose(ExchangeFailure::Malformed);
+            return;
+        }
+        if (!m_parser->is_done())
+            break;
+        onMessage();
+        if (!m_listener)
+            return;
+    }
+    read();
+}
+
+void UpstreamLink::onMessage()
+{
+    const bool isInterim = m_parser->reply.status < 200;
+    // A late answer to an earlier request arrives where the next one is expected.
+    const bool isOther = !isInterim && m_parser->requestId != m_requestId &&
+                         (m_parser->reply.isSuccess() || !m_parser->requestId.empty());
+    if (isInterim || isOther) {
+        m_isTainted = m_isTainted || isOther;
+        m_parser = std::make_unique<Parser>(m_names);
+        m_parser->skip(m_isHead);
+        return;
+    }
+    const std::unique_ptr<Parser> parser = std::move(m_parser);
+    if (parser->keepAliveTime)
+        m_keepAlive = parser->keepAliveTime;
+    const bool isReusable = !m_isTainted && !m_isWriting && m_unparsed.empty() &&
+                            parser->keep_alive() && !parser->need_eof();
+    UpstreamLinkListener *listener = m_listener;
+    if (!isReusable)
+        close();
+    listener->onLinkReply(*this, std::move(parser->reply), isReusable);
+}
+
+void UpstreamLink::lose(ExchangeFailure failure)
+{
+    UpstreamLinkListener *listener = m_listener;
+    close();
+    listener->onLinkLost(*this, failure);
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/gateway_daemon.cpp
@@ -0,0 +1,375 @@
+#include "process/gateway_daemon_p.h"
+
+#include "connection/caller_listener_p.h"
+#include "connection/control_network_p.h"
+#include "connection/peer_listener_p.h"
+#include "connection/upstream_connections_p.h"
+#include "process/log_p.h"
+#include "process/worker_pool_p.h"
+
+#include <geraniumcart/membership.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <optional>
+#include <random>
+#include <unordered_set>
+
+namespace geraniumcart {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Peers of other deployments name another cell and are refused.
+constexpr const char *Cell = "gateway";
+/// A daemon is listed once it had this long to open its connections to searchers.
+constexpr std::chrono::milliseconds ConnectionLeadTime{1200};
+/// Connections to searchers that appear together are opened spread over this time, since each
+/// opening holds a slot of the searcher for some ms and all daemons see it at the same moment.
+constexpr std::chrono::milliseconds WarmUpSpread{1000};
+/// After the request to stop, callers are still accepted while their directory answers run out.
+constexpr std::chrono::milliseconds AcceptWhileLeaving{3500};
+/// Part of the stop's grace that is kept for ending the process.
+constexpr std::chrono::milliseconds StopReserve{400};
+/// Interval at which a planned stop looks whether the last requests have ended.
+constexpr std::chrono::milliseconds StopPollInterval{20};
+/// Interval between two heartbeats to peers. A lost daemon is unlisted in about three seconds.
+constexpr std::chrono::milliseconds ProbeInterval{400};
+constexpr std::chrono::milliseconds ProbeAckTimeout{300};
+constexpr std::chrono::milliseconds ProbeTimeout{900};
+constexpr std::chrono::milliseconds SuspicionTimeout{1200};
+
+/// What the requests of one worker use.
+struct WorkerPart
+{
+    WorkerPart(Worker &ownWorker, const GatewaySettings &settings, const UpstreamHeaderNames &names,
+               const ServingViewPublisher &views)
+        : worker(ownWorker)
+        , connections(worker.context, worker.timers, names)
+        , choice(settings.zone, std::random_device{}())
+        , gateway({worker.timers, connections, choice, counts}, views)
+    {
+    }
+
+    Worker &worker;
+    UpstreamConnections connections;
+    UpstreamChoice choice;
+    CallCounts counts;
+    Gateway gateway;
+    /// Searchers to which a connection was opened ahead of need.
+    std::unordered_set<std::string> warmed;
+};
+
+/// Membership carries no other news here.
+class NoGossip final : public GossipExchange
+{
+public:
+    void fill(Gossip &) override {}
+    void take(const std::string &, const Gossip &) override {}
+};
+
+MembershipConfig membershipConfig(const GatewaySettings &settings)
+{
+    MembershipConfig config;
+    config.self.name = settings.name;
+    config.self.zone = settings.zone;
+    config.self.peerAddress = settings.peerAddress;
+    for (const std::string &seed : settings.seeds)
+        if (seed != settings.peerAddress)
+            config.seeds.push_back(seed);
+    config.probeInterval = ProbeInterval;
+    config.ackTimeout = ProbeAckTimeout;
+    config.probeTimeout = ProbeTimeout;
+    config.suspicionTimeout = SuspicionTimeout;
+    config.seed = std::random_device{}();
+    return config;
+}
+
+} // namespace
+
+struct GatewayDaemon::Parts
+{
+    Parts(GatewaySettings daemonSettings, GatewayPlatform &daemonPlatform);
+    ~Parts();
+
+    bool open(std::string &reason);
+    void run();
+
+private:
+    void awaitSignal();
+    void beginStop();
+    void drainCallers();
+    void awaitLastCall(TimePoint end);
+    void end();
+    std::uint32_t runningCalls() const;
+
+    void onView();
+    void warmUp(WorkerPart &part);
+    void becomeReady();
+    void onMembersChanged();
+    void onPeerMessage(const std::string &peer, PeerMessage message);
+    std::optional<CallerListener> &listen(std::optional<CallerListener> &listener,
+                                          const std::string &address,
+                                          std::vector<std::unique_ptr<CallerHandler>> handlers);
+
+    const GatewaySettings m_settings;
+    GatewayPlatform &m_platform;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_keepRunning;
+    asio::signal_set m_signals;
+    AsioTimerService m_timers{m_context};
+    ServingViewPublisher m_views;
+    ServingViewBuilder m_builder;
+    WorkerPool m_workers;
+    std::vector<std::unique_ptr<WorkerPart>> m_parts;
+    std::atomic<bool> m_isReady{false};
+    std::optional<CallerListener> m_callers;
+    std::optional<CallerListener> m_directory;
+    std::optional<CallerListener> m_readiness;
+    NoGossip m_gossip;
+    std::optional<ControlNetwork> m_network;
+    std::optional<Membership> m_membership;
+    std::optional<PeerListener> m_peers;
+    std::unique_ptr<FleetSource> m_source;
+    bool m_isReadyDue = false;
+    bool m_isStopping = false;
+};
+
+GatewayDaemon::Parts::Parts(GatewaySettings daemonSettings, GatewayPlatform &daemonPlatform)
+    : m_settings(std::move(daemonSettings))
+    , m_platform(daemonPlatform)
+    , m_keepRunning(asio::make_work_guard(m_context))
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_builder(m_timers, m_views, m_settings.retries)
+    , m_workers(m_settings.workers)
+{
+    for (std::uint32_t i = 0; i < m_workers.size(); ++i)
+        m_parts.push_back(std::make_unique<WorkerPart>(m_workers.worker(i), m_settings,
+                                                       m_platform.upstreamHeaders(), m_views));
+}
+
+GatewayDaemon::Parts::~Parts()
+{
+    m_workers.stop();
+}
+
+bool GatewayDaemon::Parts::open(std::string &reason)
+{
+    std::vector<std::unique_ptr<CallerHandler>> callers;
+    std::vector<std::unique_ptr<CallerHandler>> directory;
+    std::vector<std::unique_ptr<CallerHandler>> readiness;
+    for (const auto &part : m_parts) {
+        callers.push_back(
+                std::make_unique<GatewayHandler>(part->gateway, m_platform.callerHeaders()));
+        directory.push_back(m_platform.makeDirectoryHandler(m_views));
+        readiness.push_back(m_platform.makeReadinessHandler(m_isReady));
+    }
+    if (!listen(m_callers, m_settings.callerAddress, std::move(callers))->open(reason) ||
+        !listen(m_directory, m_settings.directoryAddress, std::move(directory))->open(reason) ||
+        !listen(m_readiness, m_settings.readyAddress, std::move(readiness))->open(reason))
+        return false;
+
+    m_network.emplace(
+            m_context,
+            [this] {
+                return PeerHello{m_membership->self(), Cell, PeerPlane::Control};
+            },
+            [this](const std::string &peer, PeerMessage message) {
+                onPeerMessage(peer, std::move(message));
+            });
+    m_membership.emplace(membershipConfig(m_settings), m_timers, *m_network, m_gossip,
+                         [this] { onMembersChanged(); });
+    m_peers.emplace(
+            m_context, m_workers, Cell,
+            [this](std::shared_ptr<FrameConnection> connection, const PeerHello &hello) {
+                m_network->adopt(std::move(connection), hello);
+            },
+            [](Worker &, const std::shared_ptr<FrameConnection> &connection) {
+                connection->close();
+            });
+    if (!m_peers->open(m_settings.peerAddress, reason))
+        return false;
+    m_source = m_platform.makeFleetSource(m_context, m_timers, m_builder);
+    m_builder.setObserver([this] { onView(); });
+    return true;
+}
+
+std::optional<CallerListener> &
+GatewayDaemon::Parts::listen(std::optional<CallerListener> &listener, const std::string &address,
+                             std::vector<std::unique_ptr<CallerHandler>> handlers)
+{
+    CallerListenerOptions options;
+    options.address = address;
+    listener.emplace(m_workers, std::move(handlers), options);
+    return listener;
+}
+
+void GatewayDaemon::Parts::run()
+{
+    logEvent(LogLevel::Info, "started",
+             {{"name", m_settings.name},
+              {"zone", m_settings.zone},
+              {"address", m_settings.callerAddress}});
+    awaitSignal();
+    m_source->start();
+    m_membership->start();
+    m_workers.start();
+    m_callers->start();
+    m_directory->start();
+    m_readiness->start();
+    m_context.run();
+    m_workers.stop();
+    logEvent(LogLevel::Info, "stopped");
+}
+
+void GatewayDaemon::Parts::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            // Nothing that may change at run time is kept in the settings.
+            logEvent(LogLevel::Info, "reloadRequested");
+        else if (m_isStopping)
+            end();
+        else
+            beginStop();
+        awaitSignal();
+    });
+}
+
+void GatewayDaemon::Parts::onView()
+{
+    for (const auto &part : m_parts)
+        asio::post(part->worker.context, [this, part = part.get()] { warmUp(*part); });
+    if (m_isReadyDue || !m_builder.hasRoutes() || !m_builder.hasSearchers())
+        return;
+    m_isReadyDue = true;
+    m_timers.schedule(ConnectionLeadTime, [this] { becomeReady(); });
+}
+
+void GatewayDaemon::Parts::warmUp(WorkerPart &part)
+{
+    const ServingViewPin view = m_views.pin();
+    std::minstd_rand random{std::random_device{}()};
+    std::uniform_int_distribution<Duration::rep> spread(0, Duration(WarmUpSpread).count());
+    std::unordered_set<std::string> present;
+    for (const auto &[name, service] : view->services)
+        for (const std::shared_ptr<Upstream> &upstream : service.upstreams) {
+            const std::string key = upstream->instanceId() + '@' + upstream->address();
+            present.insert(key);
+            if (part.warmed.contains(key))
+                continue;
+            part.worker.timers.schedule(Duration(spread(random)),
+                                        [&part, upstream] { part.connections.warmUp(upstream); });
+        }
+    part.warmed = std::move(present);
+}
+
+void GatewayDaemon::Parts::becomeReady()
+{
+    if (m_isStopping)
+        return;
+    m_isReady = true;
+    logEvent(LogLevel::Info, "ready");
+    m_membership->announceAddress(m_settings.callerAddress);
+}
+
+void GatewayDaemon::Parts::onMembersChanged()
+{
+    std::vector<EntryAddress> entries;
+    std::uint32_t present = 0;
+    for (const Member &member : m_membership->members()) {
+        if (isPresent(member.state))
+            ++present;
+        if (member.state == MemberState::Alive && !member.address.empty())
+            entries.push_back({member.address, member.zone, 1});
+    }
+    m_builder.setEntries(std::move(entries), present);
+}
+
+void GatewayDaemon::Parts::onPeerMessage(const std::string &peer, PeerMessage message)
+{
+    if (const auto *hello = std::get_if<PeerHello>(&message))
+        m_membership->onHello(*hello);
+    else if (const auto *ping = std::get_if<PeerPing>(&message))
+        m_membership->onPing(peer, *ping);
+    else if (const auto *ack = std::get_if<PeerAck>(&message))
+        m_membership->onAck(peer, *ack);
+    else if (const auto *request = std::get_if<PeerPingRequest>(&message))
+        m_membership->onPingRequest(peer, *request);
+    else
+        logEvent(LogLevel::Warn, "peerMessageIgnored", {{"peer", peer}});
+}
+
+void GatewayDaemon::Parts::beginStop()
+{
+    m_isStopping = true;
+    m_isReady = false;
+    const TimePoint end = m_timers.now() + m_settings.stopGrace - StopReserve;
+    logEvent(LogLevel::Info, "leaving", {{"running", runningCalls()}});
+    m_membership->announceLeaving();
+    m_builder.setLeaving();
+    m_timers.schedule(AcceptWhileLeaving, [this, end] {
+        drainCallers();
+        awaitLastCall(end);
+    });
+}
+
+void GatewayDaemon::Parts::drainCallers()
+{
+    m_callers->drain();
+    m_directory->drain();
+    m_readiness->drain();
+}
+
+std::uint32_t GatewayDaemon::Parts::runningCalls() const
+{
+    std::uint32_t running = 0;
+    for (const auto &part : m_parts)
+        running += part->gateway.running();
+    return running;
+}
+
+void GatewayDaemon::Parts::awaitLastCall(TimePoint end)
+{
+    const bool isIdle = runningCalls() == 0 && m_callers->openConnections() == 0;
+    if (!isIdle && m_timers.now() < end) {
+        m_timers.schedule(StopPollInterval, [this, end] { awaitLastCall(end); });
+        return;
+    }
+    if (!isIdle)
+        logEvent(LogLevel::Warn, "stoppedWithWork",
+                 {{"running", runningCalls()}, {"connections", m_callers->openConnections()}});
+    m_membership->announceLeft();
+    // The farewell leaves with the next turns of the loop.
+    m_timers.schedule(StopPollInterval, [this] { this->end(); });
+}
+
+void GatewayDaemon::Parts::end()
+{
+    m_context.stop();
+}
+
+GatewayDaemon::GatewayDaemon(GatewaySettings settings, GatewayPlatform &platform)
+    : m_parts(std::make_unique<Parts>(std::move(settings), platform))
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+bool GatewayDaemon::open(std::string &reason)
+{
+    return m_parts->open(reason);
+}
+
+void GatewayDaemon::run()
+{
+    m_parts->run();
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/process/gateway_daemon_p.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "connection/caller_handler_p.h"
+#include "connection/gateway_handler_p.h"
+#include "connection/upstream_link_p.h"
+
+#include <geraniumcart/gateway_settings.h>
+#include <geraniumcart/serving_view.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace geraniumcart {
+
+/// Source of configuration and searchers. Belongs to the control thread.
+class FleetSource
+{
+public:
+    virtual ~FleetSource() = default;
+    virtual void start() = 0;
+};
+
+/// What a platform brings: names on the wire, formats, and the source of the fleet's state. It
+/// decides nothing.
+class GatewayPlatform
+{
+public:
+    virtual ~GatewayPlatform() = default;
+    virtual UpstreamHeaderNames upstreamHeaders() const = 0;
+    virtual CallerHeaderNames callerHeaders() const = 0;
+    /// @param listener lives longer than the source
+    virtual std::unique_ptr<FleetSource> makeFleetSource(boost::asio::io_context &context,
+                                                         TimerService &timers,
+                                                         FleetListener &listener) = 0;
+    /// Serves callers that ask which daemons to use.
+    virtual std::unique_ptr<CallerHandler>
+    makeDirectoryHandler(const ServingViewPublisher &views) = 0;
+    /// Serves questions for readiness. @param isReady lives longer than the handler
+    virtual std::unique_ptr<CallerHandler>
+    makeReadinessHandler(const std::atomic<bool> &isReady) = 0;
+};
+
+/// A daemon that passes requests on by route: callers' side, searchers' side, peers and the source
+/// of the fleet's state, put together.
+class GatewayDaemon
+{
+public:
+    GatewayDaemon(GatewaySettings settings, GatewayPlatform &platform);
+    ~GatewayDaemon();
+    GatewayDaemon(const GatewayDaemon &) = delete;
+    GatewayDaemon &operator=(const GatewayDaemon &) = delete;
+
+    /// Binds all addresses. @return false with @p reason if one cannot be bound
+    bool open(std::string &reason);
+    /// Serves until a planned stop has ended. SIGTERM and SIGINT start one.
+    void run();
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace geraniumcart
--- a/src/process/hedging.cpp
+++ b/src/process/hedging.cpp
@@ -11,9 +11,6 @@
 
 constexpr std::int64_t MillitokensPerToken = 1000;
 
-/// Share of sub-requests that answer before they are hedged. The rest, and second hedges of those,
-/// are 3.1% more load, which stays inside the budget of 5%.
-constexpr double HedgedQuantile = 0.97;
 /// A shorter delay would only hedge the scatter of timers and connections.
 constexpr Duration MinDelay = std::chrono::milliseconds(1);
 /// Observations before the first delay is known.
@@ -47,6 +44,11 @@
 class QuantileHedging final : public HedgingPolicy
 {
 public:
+    explicit QuantileHedging(double quantile)
+        : m_quantile(quantile)
+    {
+    }
+
     void observe(Duration latency) override
     {
         m_buckets[bucketOf(latency)].fetch_add(1, std::memory_order_relaxed);
@@ -84,7 +86,7 @@
         std::uint64_t total = 0;
         for (std::uint32_t i = 0; i < BucketCount; ++i)
             total += counts[i] = m_buckets[i].load(std::memory_order_relaxed);
-        const auto rank = static_cast<std::uint64_t>(HedgedQuantile * static_cast<double>(total));
+        const auto rank = static_cast<std::uint64_t>(m_quantile * static_cast<double>(total));
         std::uint64_t below = 0;
         std::uint32_t bucket = 0;
         while (bucket + 1 < BucketCount && (below += counts[bucket]) <= rank)
@@ -92,6 +94,7 @@
         m_delay.store(std::max(MinDelay, upperEdge(bucket)).count(), std::memory_order_relaxed);
     }
 
+    const double m_quantile;
     std::array<std::atomic<std::uint32_t>, BucketCount> m_buckets{};
     std::atomic<std::uint64_t> m_observations{0};
     std::atomic<Duration::rep> m_delay{0};
@@ -131,11 +134,11 @@
     return false;
 }
 
-std::unique_ptr<HedgingPolicy> makeHedgingPolicy(HedgingKind kind)
+std::unique_ptr<HedgingPolicy> makeHedgingPolicy(HedgingKind kind, double quantile)
 {
     if (kind == HedgingKind::None)
         return std::make_unique<NoHedging>();
-    return std::make_unique<QuantileHedging>();
+    return std::make_unique<QuantileHedging>(quantile);
 }
 
 } // namespace geraniumcart
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -324,6 +324,12 @@
             m_network.send(peer.member.peerAddress, PeerPing{0, makeGossip()});
 }
 
+void Membership::announceAddress(const std::string &address)
+{
+    m_config.self.address = address;
+    bumpSelf(m_config.self.state);
+}
+
 void Membership::announceLeaving()
 {
     bumpSelf(MemberState::Leaving);
--- /dev/null
+++ b/src/request/routed_run.cpp
@@ -0,0 +1,264 @@
+#include <geraniumcart/gateway.h>
+#include <geraniumcart/record_merge.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Time that an answer takes from here to the caller and the request took to come, beside what the
+/// workers add: two times 3 ms of network and a few ms of processing.
+constexpr std::chrono::milliseconds AnswerMargin{12};
+/// A searcher whose caller left may finish a short request; after this it is stopped.
+constexpr std::chrono::milliseconds AbandonGrace{200};
+/// Share of the latency objective after which a straggler is hedged while latencies are unknown.
+constexpr int FirstHedgeDivisor = 4;
+/// Time after which a refused caller finds room: a few requests have ended by then.
+constexpr std::chrono::milliseconds RefusalRetryAfter{100};
+
+ServiceCallSpec callSpec(const RoutedRunSpec &run, const std::string &service)
+{
+    ServiceCallSpec spec;
+    spec.request = run.request;
+    spec.view = run.view;
+    spec.service = run.view->find(service);
+    spec.deadline = run.deadline;
+    spec.kind = run.route->kind;
+    spec.attempts = std::max(1U, run.route->attempts);
+    spec.hedging = run.view->hedging.at(run.route->name).get();
+    spec.firstHedgeDelay = run.route->latencyObjective / FirstHedgeDivisor;
+    spec.budget = spec.service->budget.get();
+    return spec;
+}
+
+/// Releases @p calls and stops their searchers after AbandonGrace.
+void releaseCalls(TimerService &timers, std::vector<std::shared_ptr<ServiceCall>> calls)
+{
+    for (const auto &call : calls)
+        call->release();
+    timers.schedule(AbandonGrace, [calls = std::move(calls)] {
+        for (const auto &call : calls)
+            call->cancelExchanges();
+    });
+}
+
+class ForwardRun final : public RoutedRun, public std::enable_shared_from_this<ForwardRun>
+{
+public:
+    ForwardRun(RoutedRunSpec spec, Callback done)
+        : m_spec(std::move(spec))
+        , m_done(std::move(done))
+    {
+    }
+
+    void start() override
+    {
+        ServiceCallSpec spec = callSpec(m_spec, m_spec.service);
+        spec.acceptsFailureReply = true;
+        m_call = std::make_shared<ServiceCall>(m_spec.calls, std::move(spec),
+                                               [weak = weak_from_this()](CallResult result) {
+                                                   if (const auto self = weak.lock())
+                                                       self->onResult(std::move(result));
+                                               });
+        m_call->start();
+    }
+
+    void abandon() override
+    {
+        m_done = nullptr;
+        // What must not run twice runs to its end, so that its outcome stays certain.
+        if (m_spec.route->kind == RouteKind::AtMostOnce)
+            m_call->release();
+        else
+            releaseCalls(m_spec.calls.timers, {m_call});
+    }
+
+private:
+    void onResult(CallResult result)
+    {
+        RoutedAnswer answer;
+        if (result.reply) {
+            answer.status = RoutedStatus::Reply;
+            answer.reply = std::move(*result.reply);
+        } else if (result.isProvenNotRun) {
+            answer.status = RoutedStatus::Refused;
+            answer.retryAfter = RefusalRetryAfter;
+        } else {
+            answer.status = result.failure == CallFailure::TimedOut ? RoutedStatus::TimedOut
+                                                                    : RoutedStatus::Failed;
+        }
+        if (m_done)
+            std::exchange(m_done, nullptr)(std::move(answer));
+    }
+
+    RoutedRunSpec m_spec;
+    Callback m_done;
+    std::shared_ptr<ServiceCall> m_call;
+};
+
+class ScatterRun final : public RoutedRun, public std::enable_shared_from_this<ScatterRun>
+{
+public:
+    ScatterRun(RoutedRunSpec spec, Callback done)
+        : m_spec(std::move(spec))
+        , m_done(std::move(done))
+        , m_parts(m_spec.route->shards.size())
+    {
+    }
+
+    void start() override
+    {
+        const auto &shards = m_spec.route->shards;
+        m_open = static_cast<std::uint32_t>(shards.size());
+        if (servableShards() < m_spec.route->minShards()) {
+            m_spec.calls.timers.schedule(Duration::zero(),
+                                         [self = shared_from_this()] { self->refuse(); });
+            return;
+        }
+        for (std::size_t shard = 0; shard < shards.size(); ++shard)
+            startShard(shard);
+        const TimePoint objective = m_spec.arrival + m_spec.route->latencyObjective - AnswerMargin;
+        armTimer(objective);
+    }
+
+    void abandon() override
+    {
+        m_done = nullptr;
+        disarm();
+        releaseCalls(m_spec.calls.timers, std::exchange(m_calls, {}));
+    }
+
+private:
+    /// Shards that have a searcher.
+    std::uint32_t servableShards() const
+    {
+        return static_cast<std::uint32_t>(
+                std::count_if(m_spec.route->shards.begin(), m_spec.route->shards.end(),
+                              [this](const std::string &shard) {
+                                  const ServiceUpstreams *service = m_spec.view->find(shard);
+                                  return service && !service->upstreams.empty();
+                              }));
+    }
+
+    void startShard(std::size_t shard)
+    {
+        const std::string &service = m_spec.route->shards[shard];
+        if (!m_spec.view->find(service) || m_spec.view->find(service)->upstreams.empty()) {
+            --m_open;
+            return;
+        }
+        m_calls.push_back(
+                std::make_shared<ServiceCall>(m_spec.calls, callSpec(m_spec, service),
+                                              [weak = weak_from_this(), shard](CallResult result) {
+                                                  if (const auto self = weak.lock())
+                                                      self->onResult(shard, std::move(result));
+                                              }));
+        m_calls.back()->start();
+    }
+
+    void onResult(std::size_t shard, CallResult result)
+    {
+        if (!m_done)
+            return;
+        --m_open;
+        if (result.reply && !result.reply->signature.empty()) {
+            m_parts[shard] = std::move(result.reply);
+            ++m_answered;
+        }
+        const std::uint32_t needed = m_spec.route->minShards();
+        if (m_open == 0 || m_answered + m_open < needed ||
+            (m_isObjectivePast && m_answered >= needed))
+            finish(RoutedStatus::Failed);
+    }
+
+    void armTimer(TimePoint time)
+    {
+        m_timer = m_spec.calls.timers.schedule(time - m_spec.calls.timers.now(),
+                                               [weak = weak_from_this()] {
+                                                   if (const auto self = weak.lock())
+                                                       self->onTimer();
+                                               });
+    }
+
+    void onTimer()
+    {
+        m_timer = 0;
+        if (!m_done)
+            return;
+        const bool isDeadline = m_spec.calls.timers.now() >= m_spec.deadline;
+        m_isObjectivePast = true;
+        if (m_answered >= m_spec.route->minShards() || isDeadline)
+            finish(RoutedStatus::TimedOut);
+        else
+            armTimer(m_spec.deadline);
+    }
+
+    /// @param shortfall what the answer is when too few shards answered
+    void finish(RoutedStatus shortfall)
+    {
+        disarm();
+        RoutedAnswer answer;
+        answer.status = m_answered >= m_spec.route->minShards() ? RoutedStatus::Merged : shortfall;
+        if (answer.status == RoutedStatus::Merged)
+            merge(answer);
+        // Stragglers end by themselves: closing their connections costs the searchers more than
+        // finishing short requests.
+        for (const auto &call : m_calls)
+            call->release();
+        std::exchange(m_done, nullptr)(std::move(answer));
+    }
+
+    void merge(RoutedAnswer &answer) const
+    {
+        std::vector<std::string_view> bodies;
+        for (const auto &part : m_parts) {
+            if (!part)
+                continue;
+            bodies.push_back(part->body);
+            answer.signatures.push_back(part->signature);
+        }
+        answer.missingShards = static_cast<std::uint32_t>(m_parts.size() - bodies.size());
+        answer.body = mergeGreatestRecords(bodies, m_spec.route->resultLimit);
+    }
+
+    void refuse()
+    {
+        if (!m_done)
+            return;
+        RoutedAnswer answer;
+        answer.status = RoutedStatus::Refused;
+        answer.retryAfter = RefusalRetryAfter;
+        std::exchange(m_done, nullptr)(std::move(answer));
+    }
+
+    void disarm()
+    {
+        if (m_timer != 0)
+            m_spec.calls.timers.cancel(std::exchange(m_timer, 0));
+    }
+
+    RoutedRunSpec m_spec;
+    Callback m_done;
+    std::vector<std::shared_ptr<ServiceCall>> m_calls;
+    std::vector<std::optional<UpstreamReply>> m_parts;
+    std::uint32_t m_open = 0;
+    std::uint32_t m_answered = 0;
+    bool m_isObjectivePast = false;
+    TimerId m_timer = 0;
+};
+
+} // namespace
+
+std::shared_ptr<RoutedRun> makeForwardRun(RoutedRunSpec spec, RoutedRun::Callback done)
+{
+    return std::make_shared<ForwardRun>(std::move(spec), std::move(done));
+}
+
+std::shared_ptr<RoutedRun> makeScatterRun(RoutedRunSpec spec, RoutedRun::Callback done)
+{
+    return std::make_shared<ScatterRun>(std::move(spec), std::move(done));
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/request/upstream_choice.cpp
@@ -0,0 +1,101 @@
+#include <geraniumcart/upstream_choice.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Daemons that may join before the others hear of them.
+constexpr std::uint32_t JoiningDaemons = 3;
+/// More connections than this to one searcher carry nothing: it has two or three slots.
+constexpr std::uint32_t MostConnections = 4;
+/// Share of a searcher's limits that is planned for; the rest covers daemons that have not learned
+/// of each other.
+constexpr double PlannedShare = 0.9;
+/// Latency assumed for a searcher while none of its service is known.
+constexpr Duration UnknownLatency = std::chrono::milliseconds(10);
+/// Added for a searcher in another availability zone: one round trip of 2 x 0.5 ms.
+constexpr Duration OtherZonePenalty = std::chrono::milliseconds(1);
+/// Time in which half of a bad impression fades, so that a searcher that recovered is tried again.
+constexpr double ImpressionHalfLifeSeconds = 2;
+/// A cold searcher takes about this much longer.
+constexpr double ColdFactor = 1.6;
+/// Spread between daemons, so that they do not all pick the same searcher of two equal ones.
+constexpr double ChoiceSpread = 0.3;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration bestLatency(std::span<const std::shared_ptr<Upstream>> candidates)
+{
+    Duration best = Duration::max();
+    for (const auto &candidate : candidates)
+        if (candidate->latency() > Duration::zero())
+            best = std::min(best, candidate->latency());
+    return best == Duration::max() ? UnknownLatency : best;
+}
+
+/// Seconds until a further request to @p upstream is answered.
+double expectedWait(const Upstream &upstream, double best, TimePoint now)
+{
+    double latency = best;
+    if (upstream.latency() > Duration::zero()) {
+        const double age = seconds(upstream.latencyAge(now));
+        latency += (seconds(upstream.latency()) - best) *
+                   std::exp2(-std::max(age, 0.0) / ImpressionHalfLifeSeconds);
+    }
+    latency = std::max(latency, seconds(upstream.silence(now)));
+    if (upstream.isCold(now))
+        latency *= ColdFactor;
+    return latency * (1 + upstream.inFlight());
+}
+
+} // namespace
+
+std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t senders)
+{
+    const std::uint32_t share = profile.maxConnections / (senders + JoiningDaemons);
+    return std::clamp(share, 1U, MostConnections);
+}
+
+Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders)
+{
+    if (profile.warmUpRate <= 0)
+        return Duration::zero();
+    const double interval = (senders + JoiningDaemons) / (profile.warmUpRate * PlannedShare);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
+}
+
+std::shared_ptr<Upstream>
+UpstreamChoice::choose(std::span<const std::shared_ptr<Upstream>> candidates, TimePoint now,
+                       const std::function<bool(const Upstream &)> &isUsable)
+{
+    const double best = seconds(bestLatency(candidates));
+    std::uniform_real_distribution<double> spread(1, 1 + ChoiceSpread);
+    std::shared_ptr<Upstream> chosen;
+    bool isChosenSuspect = false;
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto &candidate : candidates) {
+        if (!isUsable(*candidate))
+            continue;
+        const bool isSuspect = now < candidate->suspectUntil();
+        double cost = expectedWait(*candidate, best, now) * spread(m_random);
+        if (candidate->zone() != m_zone)
+            cost += seconds(OtherZonePenalty);
+        const bool isBetter = !chosen || (isChosenSuspect && !isSuspect) ||
+                              (isChosenSuspect == isSuspect && cost < lowest);
+        if (!isBetter)
+            continue;
+        chosen = candidate;
+        isChosenSuspect = isSuspect;
+        lowest = cost;
+    }
+    return chosen;
+}
+
+} // namespace geraniumcart
--- /dev/null
+++ b/src/version/serving_view.cpp
@@ -0,0 +1,196 @@
+#include <geraniumcart/serving_view.h>
+
+#include "process/log_p.h"
+
+#include <geraniumcart/invariants.h>
+
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// A searcher whose entry vanished without a word of draining is used for this much longer: an
+/// entry that lapsed while the store was away is back within two seconds. It stays below the three
+/// seconds after which nothing may reach a searcher that left, together with the watch interval.
+constexpr std::chrono::milliseconds LapsedEntryGrace{1800};
+
+/// Share of the allowance that is planned for. The rest covers requests that callers gave up
+/// before they came here and daemons that do not know of each other yet.
+constexpr double PlannedAllowance = 0.85;
+/// Daemons that may join or restart within one window, each with a full reserve.
+constexpr std::uint32_t JoiningDaemons = 3;
+/// Part of the allowance that hedges may ask for; failed requests need the rest.
+constexpr double HedgedPartOfAllowance = 0.75;
+
+bool isSameUpstream(const SearcherRecord &a, const SearcherRecord &b)
+{
+    return a.service == b.service && a.address == b.address && a.zone == b.zone &&
+           a.bootTime == b.bootTime;
+}
+
+} // namespace
+
+void ServingViewBuilder::onRoutes(RouteTable routes)
+{
+    if (m_routes && routes.version <= m_routes->version)
+        return;
+    logEvent(LogLevel::Info, "routesInForce",
+             {{"version", routes.version},
+              {"previous", m_routes ? m_routes->version : 0},
+              {"routes", routes.routes.size()},
+              {"services", routes.services.size()}});
+    m_routes = std::make_shared<const RouteTable>(std::move(routes));
+    changed();
+}
+
+void ServingViewBuilder::onSearcher(const SearcherRecord &record)
+{
+    m_hasSearchers = true;
+    Entry &entry = m_searchers[record.instanceId];
+    if (entry.removal != 0)
+        m_timers.cancel(std::exchange(entry.removal, 0));
+    const bool isNew = !entry.upstream || !isSameUpstream(entry.record, record);
+    const bool wasDraining = entry.record.isDraining;
+    entry.record = record;
+    if (isNew)
+        entry.upstream = std::make_shared<Upstream>(record);
+    if (record.warmUpLeft > Duration::zero())
+        entry.upstream->setColdUntil(m_timers.now() + record.warmUpLeft);
+    if (!isNew && wasDraining == record.isDraining)
+        return;
+    logEvent(LogLevel::Info, record.isDraining ? "searcherDraining" : "searcherSeen",
+             {{"instance", record.instanceId},
+              {"service", record.service},
+              {"address", record.address},
+              {"zone", record.zone}});
+    changed();
+}
+
+void ServingViewBuilder::onSearcherGone(const std::string &instanceId)
+{
+    const auto found = m_searchers.find(instanceId);
+    if (found == m_searchers.end())
+        return;
+    if (!found->second.record.isDraining) {
+        scheduleRemoval(instanceId, found->second);
+        return;
+    }
+    m_searchers.erase(found);
+    changed();
+}
+
+void ServingViewBuilder::scheduleRemoval(const std::string &instanceId, Entry &entry)
+{
+    if (entry.removal != 0)
+        return;
+    entry.removal = m_timers.schedule(LapsedEntryGrace, [this, instanceId] {
+        logEvent(LogLevel::Info, "searcherGone", {{"instance", instanceId}});
+        m_searchers.erase(instanceId);
+        changed();
+    });
+}
+
+void ServingViewBuilder::onSearcherList(const std::set<std::string> &instanceIds)
+{
+    m_hasSearchers = true;
+    std::vector<std::string> missing;
+    for (const auto &[instanceId, entry] : m_searchers)
+        if (!instanceIds.contains(instanceId))
+            missing.push_back(instanceId);
+    for (const std::string &instanceId : missing)
+        onSearcherGone(instanceId);
+    changed();
+}
+
+void ServingViewBuilder::onZoneOut(const std::string &zone)
+{
+    if (!m_zonesOut.insert(zone).second)
+        return;
+    logEvent(LogLevel::Info, "zoneOut", {{"zone", zone}});
+    changed();
+}
+
+void ServingViewBuilder::onZoneBack(const std::string &zone)
+{
+    if (m_zonesOut.erase(zone) == 0)
+        return;
+    logEvent(LogLevel::Info, "zoneBack", {{"zone", zone}});
+    changed();
+}
+
+void ServingViewBuilder::onZonesOut(const std::set<std::string> &zones)
+{
+    if (zones == m_zonesOut)
+        return;
+    m_zonesOut = zones;
+    logEvent(LogLevel::Info, "zonesOut", {{"count", zones.size()}});
+    changed();
+}
+
+void ServingViewBuilder::setEntries(std::vector<EntryAddress> entries, std::uint32_t senders)
+{
+    if (entries == m_entries && senders == m_senders)
+        return;
+    m_entries = std::move(entries);
+    m_senders = senders;
+    changed();
+}
+
+void ServingViewBuilder::setLeaving()
+{
+    m_isLeaving = true;
+    changed();
+}
+
+std::shared_ptr<AttemptBudget> ServingViewBuilder::makeBudget() const
+{
+    const double reserve = m_retries.extra * PlannedAllowance / (m_senders + JoiningDaemons);
+    return std::make_shared<AttemptBudget>(m_retries.share * PlannedAllowance,
+                                           static_cast<std::uint32_t>(reserve));
+}
+
+void ServingViewBuilder::changed()
+{
+    // One publication for all changes that arrive in one turn.
+    if (std::exchange(m_isPublishDue, true))
+        return;
+    m_timers.schedule(Duration::zero(), [this] { publish(); });
+}
+
+void ServingViewBuilder::publish()
+{
+    m_isPublishDue = false;
+    ServingView view;
+    view.routes = m_routes;
+    view.entries = m_entries;
+    view.senders = m_senders;
+    view.isLeaving = m_isLeaving;
+    if (m_routes) {
+        for (const auto &[name, profile] : m_routes->services) {
+            auto &budget = m_budgets[name];
+            if (!budget)
+                budget = makeBudget();
+            view.services[name] = {profile, budget, {}};
+        }
+        for (const Route &route : m_routes->routes) {
+            auto &hedging = m_hedging[route.name];
+            if (!hedging)
+                hedging = makeHedgingPolicy(HedgingKind::Quantile,
+                                            1 - m_retries.share * HedgedPartOfAllowance);
+        }
+        view.hedging = m_hedging;
+    }
+    for (const auto &[instanceId, entry] : m_searchers) {
+        const auto service = view.services.find(entry.record.service);
+        if (service == view.services.end() || entry.record.isDraining ||
+            m_zonesOut.contains(entry.record.zone))
+            continue;
+        service->second.upstreams.push_back(entry.upstream);
+    }
+    m_publisher.publish(std::move(view));
+    if (m_observer)
+        m_observer();
+}
+
+} // namespace geraniumcart
--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -414,7 +414,7 @@
     Server server;
     CallerListenerOptions options;
     options.address = address.empty() ? server.listener->address() : address;
-    CallerListener second(server.pool, {}, options);
+    CallerListener second(server.pool, std::vector<FrontEnd *>{}, options);
     std::string reason;
     CHECK_FALSE(second.open(reason));
     CHECK(reason.find(options.address) == 0);
