--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -170,7 +170,8 @@
         const std::uint32_t needed = m_spec.route->minShards();
         if (m_open == 0 || m_answered + m_open < needed ||
             (m_isObjectivePast && m_answered >= needed))
-            finish(RoutedStatus::Failed);
+            finish(result.failure == CallFailure::TimedOut ? RoutedStatus::TimedOut
+                                                           : RoutedStatus::Failed);
     }
 
     void armTimer(TimePoint time)
--- /dev/null
+++ b/tests/serving_view_test.cpp
@@ -0,0 +1,195 @@
+#include "support/fake_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace geraniumcart;
+using namespace geraniumcart::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Cell : GatewayCell
+{
+    Cell()
+        : GatewayCell({plainRoute()})
+    {
+        add(searcher("desk", "a", "z0"));
+        add(searcher("desk", "b", "z1"));
+    }
+    std::set<std::string> usable()
+    {
+        std::set<std::string> ids;
+        timers.advance(Duration::zero());
+        for (const auto &upstream : views.pin()->find("desk")->upstreams)
+            ids.insert(upstream->instanceId());
+        return ids;
+    }
+};
+
+using Ids = std::set<std::string>;
+
+} // namespace
+
+TEST_CASE("a view offers the searchers that may get new requests")
+{
+    using Step = void (*)(Cell &);
+    const auto [failure, step, wait, expected] = GENERATE(table<const char *, Step, Duration, Ids>({
+            {"a draining searcher is used",
+             [](Cell &cell) {
+                 SearcherRecord record = searcher("desk", "a", "z0");
+                 record.isDraining = true;
+                 cell.builder.onSearcher(record);
+             },
+             0ms,
+             {"b"}},
+            {"a lapsed entry is dropped at once", [](Cell &cell) { cell.builder.onSearcherGone("a"); },
+             1500ms,
+             {"a", "b"}},
+            {"an entry that stays away is used on", [](Cell &cell) { cell.builder.onSearcherGone("a"); },
+             2000ms,
+             {"b"}},
+            {"an entry that is back is dropped",
+             [](Cell &cell) {
+                 cell.builder.onSearcherGone("a");
+                 cell.advance(1000ms);
+                 cell.builder.onSearcher(searcher("desk", "a", "z0"));
+             },
+             3000ms,
+             {"a", "b"}},
+            {"a list that misses a searcher is ignored",
+             [](Cell &cell) { cell.builder.onSearcherList({"b"}); },
+             2000ms,
+             {"b"}},
+            {"a zone that is out is used", [](Cell &cell) { cell.builder.onZoneOut("z1"); }, 0ms, {"a"}},
+            {"a zone that is back stays out",
+             [](Cell &cell) {
+                 cell.builder.onZoneOut("z1");
+                 cell.builder.onZoneBack("z1");
+             },
+             0ms,
+             {"a", "b"}},
+            {"a list of zones leaves an old one out",
+             [](Cell &cell) {
+                 cell.builder.onZoneOut("z1");
+                 cell.builder.onZonesOut({"z0"});
+             },
+             0ms,
+             {"b"}},
+    }));
+    INFO(failure);
+    Cell cell;
+    step(cell);
+    cell.advance(wait);
+    CHECK(cell.usable() == expected);
+}
+
+// Guards against state of an earlier start that is taken for the new one, and against state that is
+// lost with every heartbeat.
+TEST_CASE("a searcher keeps its state until it starts again")
+{
+    const auto [failure, bootTime, address, isSame] =
+            GENERATE(table<const char *, std::int64_t, const char *, bool>({
+                    {"a heartbeat resets the state", 1, "127.0.0.1:5000", true},
+                    {"a start under the same id keeps the state", 2, "127.0.0.1:5000", false},
+                    {"a move keeps the state", 1, "127.0.0.1:5001", false},
+            }));
+    INFO(failure);
+    GatewayCell cell({plainRoute()});
+    SearcherRecord record = searcher("desk", "a");
+    record.bootTime = 1;
+    record.address = "127.0.0.1:5000";
+    cell.add(record);
+    const auto before = cell.views.pin()->find("desk")->upstreams[0];
+    record.bootTime = bootTime;
+    record.address = address;
+    cell.add(record);
+    CHECK((cell.views.pin()->find("desk")->upstreams[0] == before) == isSame);
+}
+
+TEST_CASE("routes never go back")
+{
+    const auto [failure, version, expected] =
+            GENERATE(table<const char *, std::uint64_t, std::uint64_t>({
+                    {"an older version comes into force", 1, 5},
+                    {"the same version is taken again", 5, 5},
+                    {"a newer version is refused", 9, 9},
+            }));
+    INFO(failure);
+    GatewayCell cell({plainRoute()});
+    RouteTable table = cell.routeTable;
+    table.version = 5;
+    cell.builder.onRoutes(table);
+    table.version = version;
+    cell.builder.onRoutes(table);
+    cell.advance(0ms);
+    CHECK(cell.views.pin()->routes->version == expected);
+}
+
+TEST_CASE("the longest prefix of the host's routes is matched")
+{
+    RouteTable routes;
+    for (const char *prefix : {"/", "/a/", "/a/b/"}) {
+        Route route = plainRoute();
+        route.name = prefix;
+        route.pathPrefix = prefix;
+        routes.routes.push_back(route);
+    }
+    const auto [failure, host, path, expected] =
+            GENERATE(table<const char *, const char *, const char *, const char *>({
+                    {"a shorter prefix wins", "shop.example", "/a/b/c", "/a/b/"},
+                    {"a prefix matches inside a name", "shop.example", "/a/bc", "/a/"},
+                    {"the root matches nothing", "shop.example", "/x", "/"},
+                    {"another host's routes match", "other.example", "/a/", ""},
+            }));
+    INFO(failure);
+    const Route *route = routes.match(host, path);
+    CHECK((route ? route->name : std::string()) == expected);
+}
+
+TEST_CASE("the searcher that is expected to answer first is chosen")
+{
+    using Step = void (*)(Upstream & a, Upstream & b, TimePoint now);
+    const auto [failure, step] =
+            GENERATE(table<const char *, Step>({
+                    {"a slow searcher is preferred",
+                     [](Upstream &a, Upstream &b, TimePoint now) {
+                         for (Upstream *upstream : {&a, &b})
+                             upstream->noteSent(now);
+                         a.noteAnswer(now, 10ms);
+                         b.noteAnswer(now, 80ms);
+                     }},
+                    {"a busy searcher is preferred",
+                     [](Upstream &, Upstream &b, TimePoint now) {
+                         b.noteSent(now);
+                         b.noteSent(now);
+                     }},
+                    {"a silent searcher is preferred",
+                     [](Upstream &a, Upstream &b, TimePoint now) {
+                         a.noteSent(now);
+                         a.noteAnswer(now, 10ms);
+                         b.noteSent(now - 200ms);
+                     }},
+                    {"a searcher that failed is preferred",
+                     [](Upstream &, Upstream &b, TimePoint now) {
+                         b.noteSent(now);
+                         b.noteFailure(now);
+                     }},
+                    {"a searcher that refused is preferred",
+                     [](Upstream &, Upstream &b, TimePoint now) {
+                         b.noteSent(now);
+                         b.noteRefusal(now);
+                     }},
+                    {"a cold searcher is preferred",
+                     [](Upstream &, Upstream &b, TimePoint now) { b.setColdUntil(now + 1s); }},
+            }));
+    INFO(failure);
+    const TimePoint now = TimePoint() + 1h;
+    const std::vector<std::shared_ptr<Upstream>> candidates{
+            std::make_shared<Upstream>(searcher("desk", "a")),
+            std::make_shared<Upstream>(searcher("desk", "b"))};
+    step(*candidates[0], *candidates[1], now);
+    UpstreamChoice choice("z0", 3);
+    const auto usable = [](const Upstream &) { return true; };
+    for (int i = 0; i < 20; ++i)
+        CHECK(choice.choose(candidates, now, usable) == candidates[0]);
+}
--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <functional>
+#include <istream>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace geraniumcart::test {
+
+/// What a server does with one request.
+struct RawAnswer
+{
+    std::string bytes;
+    enum class Then { Keep, Close, Reset } then = Then::Keep;
+    /// Written on the same connection this long after the answer.
+    std::string later{};
+    std::chrono::milliseconds laterAfter{0};
+};
+
+/// Answers requests with bytes that the test gives, well-formed or not. Runs on the test's
+/// io_context; requests have no body.
+class RawServer
+{
+public:
+    using Script = std::function<RawAnswer(const std::string &head)>;
+    using Tcp = boost::asio::ip::tcp;
+
+    RawServer(boost::asio::io_context &context, Script script)
+        : m_context(context)
+        , m_acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_script(std::move(script))
+    {
+        accept();
+    }
+
+    Tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /// Heads of all requests so far, in order.
+    std::vector<std::string> heads;
+    int connections = 0;
+
+private:
+    struct Session
+    {
+        explicit Session(Tcp::socket accepted)
+            : socket(std::move(accepted))
+            , timer(socket.get_executor())
+        {
+        }
+        Tcp::socket socket;
+        boost::asio::steady_timer timer;
+        boost::asio::streambuf buffer;
+    };
+    using SessionPtr = std::shared_ptr<Session>;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, Tcp::socket socket) {
+            if (error)
+                return;
+            ++connections;
+            read(std::make_shared<Session>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const SessionPtr &session)
+    {
+        boost::asio::async_read_until(
+                session->socket, session->buffer, "\r\n\r\n",
+                [this, session](boost::system::error_code error, std::size_t size) {
+                    if (error)
+                        return;
+                    std::string head(size, '\0');
+                    std::istream(&session->buffer).read(head.data(), static_cast<long>(size));
+                    heads.push_back(head);
+                    answer(session, m_script(head));
+                });
+    }
+
+    void answer(const SessionPtr &session, const RawAnswer &answer)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(session->socket, boost::asio::buffer(answer.bytes), ignored);
+        if (answer.then == RawAnswer::Then::Reset)
+            session->socket.set_option(Tcp::socket::linger(true, 0), ignored);
+        if (answer.then != RawAnswer::Then::Keep) {
+            session->socket.close(ignored);
+            return;
+        }
+        if (!answer.later.empty()) {
+            session->timer.expires_after(answer.laterAfter);
+            session->timer.async_wait([session, later = answer.later](auto) {
+                boost::system::error_code failed;
+                boost::asio::write(session->socket, boost::asio::buffer(later), failed);
+            });
+        }
+        read(session);
+    }
+
+    boost::asio::io_context &m_context;
+    Tcp::acceptor m_acceptor;
+    Script m_script;
+};
+
+/// Value of a header field in @p head, or nothing.
+inline std::string headerValue(const std::string &head, const std::string &name)
+{
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t start = at + name.size() + 4;
+    return head.substr(start, head.find("\r\n", start) - start);
+}
+
+} // namespace geraniumcart::test
