Let a few daemons watch the store and tell the others

Change: three watchers, or one in twelve daemons, chosen the same way everywhere and spread over zones, push each change to their followers; a follower that hears of no watcher for 1.5 s watches itself; a daemon that reaches neither asks its peers. A starting daemon asks its peers for everything and reads the store at once.

A test showed that watchers which all lose the store leave everyone behind; they now ask peers.

--- a/include/geraniumcart/member.h
+++ b/include/geraniumcart/member.h
@@ -29,6 +29,8 @@
     /// Grows when the member restarts or refutes a suspicion.
     std::uint64_t incarnation = 0;
     MemberState state = MemberState::Alive;
+    /// Processor share in thousandths of a core; 0 where the member does not say.
+    std::uint32_t weight = 0;
     bool operator==(const Member &) const = default;
 };
 
--- a/include/geraniumcart/peer_messages.h
+++ b/include/geraniumcart/peer_messages.h
@@ -135,9 +135,15 @@
     std::uint64_t incarnation = 0;
 };
 
-using PeerMessage =
-        std::variant<PeerHello, PeerPing, PeerAck, PeerPingRequest, PeerObjectPull, PeerObjectPush,
-                     PeerSubBatch, PeerSubReply, PeerSubCancel, PeerUpstreamReports, PeerRelease>;
+/// Tells a follower that the sender follows the store and what the sum of its state is.
+struct PeerFleetBeat
+{
+    std::uint64_t digest = 0;
+};
+
+using PeerMessage = std::variant<PeerHello, PeerPing, PeerAck, PeerPingRequest, PeerObjectPull,
+                                 PeerObjectPush, PeerSubBatch, PeerSubReply, PeerSubCancel,
+                                 PeerUpstreamReports, PeerRelease, PeerFleetBeat>;
 
 /// Carries messages to peers. Decision code sends through this; it never sees a frame.
 class PeerNetwork
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -58,11 +58,8 @@
     /// Replaces what was known of the searcher with this instance id.
     virtual void onSearcher(const SearcherRecord &record) = 0;
     virtual void onSearcherGone(const std::string &instanceId) = 0;
-    /// A complete list of searchers was read: those not in it are gone.
-    virtual void onSearcherList(const std::set<std::string> &instanceIds) = 0;
     virtual void onZoneOut(const std::string &zone) = 0;
     virtual void onZoneBack(const std::string &zone) = 0;
-    virtual void onZonesOut(const std::set<std::string> &zones) = 0;
 };
 
 /// What all daemons together may send beyond the first attempt of each request, for each service.
@@ -90,10 +87,8 @@
     void onRoutes(RouteTable routes) override;
     void onSearcher(const SearcherRecord &record) override;
     void onSearcherGone(const std::string &instanceId) override;
-    void onSearcherList(const std::set<std::string> &instanceIds) override;
     void onZoneOut(const std::string &zone) override;
     void onZoneBack(const std::string &zone) override;
-    void onZonesOut(const std::set<std::string> &zones) override;
 
     void setEntries(std::vector<EntryAddress> entries, std::uint32_t senders);
     void setLeaving();
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -109,7 +109,8 @@
 {
     return wire::CreateMemberDirect(builder, member.name.c_str(), member.zone.c_str(),
                                     member.address.c_str(), member.peerAddress.c_str(),
-                                    member.incarnation, static_cast<std::uint8_t>(member.state));
+                                    member.incarnation, static_cast<std::uint8_t>(member.state),
+                                    member.weight);
 }
 
 bool decodeMember(const wire::Member &member, Member &out)
@@ -118,6 +119,7 @@
         return false;
     out.incarnation = member.incarnation();
     out.state = static_cast<MemberState>(member.state());
+    out.weight = member.weight();
     return decodeString(member.name(), out.name) && decodeString(member.zone(), out.zone) &&
            decodeString(member.address(), out.address) &&
            decodeString(member.peer_address(), out.peerAddress) && !out.name.empty() &&
@@ -330,6 +332,11 @@
         const auto objects = encodeRows<wire::StoredObject>(builder, push.objects, encodeObject);
         return wire::CreateObjectPush(builder, objects, push.isCompleteCopy).Union();
     }
+    Offset<void> operator()(const PeerFleetBeat &beat)
+    {
+        kind = wire::Body::FleetBeat;
+        return wire::CreateFleetBeat(builder, beat.digest).Union();
+    }
     Offset<void> operator()(const PeerSubBatch &batch)
     {
         kind = wire::Body::SubBatch;
@@ -475,6 +482,8 @@
         return decodeReports(*frame.body_as_UpstreamReports());
     case wire::Body::Release:
         return decodeRelease(*frame.body_as_Release());
+    case wire::Body::FleetBeat:
+        return PeerFleetBeat{frame.body_as_FleetBeat()->digest()};
     case wire::Body::NONE:
         break;
     }
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -134,6 +134,7 @@
     std::optional<ControlNetwork> m_network;
     std::optional<Membership> m_membership;
     std::optional<PeerListener> m_peers;
+    std::optional<FleetRelay> m_relay;
     std::unique_ptr<FleetSource> m_source;
     bool m_isReadyDue = false;
     bool m_isStopping = false;
@@ -193,7 +194,11 @@
             });
     if (!m_peers->open(m_settings.peerAddress, reason))
         return false;
-    m_source = m_platform.makeFleetSource(m_context, m_timers, m_builder);
+    m_relay.emplace(
+            m_settings.name, m_timers, *m_network,
+            FleetRelay::Callbacks{[this](const StoredObject &object) { m_source->apply(object); },
+                                  [this](bool isWatching) { m_source->setWatching(isWatching); }});
+    m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder);
     m_builder.setObserver([this] { onView(); });
     return true;
 }
@@ -215,7 +220,7 @@
               {"zone", m_settings.zone},
               {"address", m_settings.callerAddress}});
     awaitSignal();
-    m_source->start();
+    m_relay->start();
     m_membership->start();
     m_workers.start();
     m_callers->start();
@@ -289,6 +294,7 @@
         if (member.state == MemberState::Alive && !member.address.empty())
             entries.push_back({member.address, member.zone, 1});
     }
+    m_relay->setMembers(m_membership->members());
     m_builder.setEntries(std::move(entries), present);
 }
 
@@ -302,6 +308,12 @@
         m_membership->onAck(peer, *ack);
     else if (const auto *request = std::get_if<PeerPingRequest>(&message))
         m_membership->onPingRequest(peer, *request);
+    else if (const auto *beat = std::get_if<PeerFleetBeat>(&message))
+        m_relay->onBeat(peer, *beat);
+    else if (const auto *pull = std::get_if<PeerObjectPull>(&message))
+        m_relay->onPull(peer, *pull);
+    else if (const auto *push = std::get_if<PeerObjectPush>(&message))
+        m_relay->onPush(*push);
     else
         logEvent(LogLevel::Warn, "peerMessageIgnored", {{"peer", peer}});
 }
--- a/src/process/gateway_daemon_p.h
+++ b/src/process/gateway_daemon_p.h
@@ -4,6 +4,7 @@
 #include "connection/gateway_handler_p.h"
 #include "connection/upstream_link_p.h"
 
+#include <geraniumcart/fleet_relay.h>
 #include <geraniumcart/gateway_settings.h>
 #include <geraniumcart/serving_view.h>
 
@@ -15,12 +16,15 @@
 
 namespace geraniumcart {
 
-/// Source of configuration and searchers. Belongs to the control thread.
+/// Reads configuration and searchers where they are kept. Belongs to the control thread.
 class FleetSource
 {
 public:
     virtual ~FleetSource() = default;
-    virtual void start() = 0;
+    /// Starts or ends following the store; what it holds goes to the sink.
+    virtual void setWatching(bool isWatching) = 0;
+    /// Decodes one object, from the store or from a peer; what it says goes to the listener.
+    virtual void apply(const StoredObject &object) = 0;
 };
 
 /// What a platform brings: names on the wire, formats, and the source of the fleet's state. It
@@ -31,9 +35,9 @@
     virtual ~GatewayPlatform() = default;
     virtual UpstreamHeaderNames upstreamHeaders() const = 0;
     virtual CallerHeaderNames callerHeaders() const = 0;
-    /// @param listener lives longer than the source
+    /// @param sink, listener live longer than the source
     virtual std::unique_ptr<FleetSource> makeFleetSource(boost::asio::io_context &context,
-                                                         TimerService &timers,
+                                                         TimerService &timers, FleetFactSink &sink,
                                                          FleetListener &listener) = 0;
     /// Serves callers that ask which daemons to use.
     virtual std::unique_ptr<CallerHandler>
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -91,18 +91,6 @@
     });
 }
 
-void ServingViewBuilder::onSearcherList(const std::set<std::string> &instanceIds)
-{
-    m_hasSearchers = true;
-    std::vector<std::string> missing;
-    for (const auto &[instanceId, entry] : m_searchers)
-        if (!instanceIds.contains(instanceId))
-            missing.push_back(instanceId);
-    for (const std::string &instanceId : missing)
-        onSearcherGone(instanceId);
-    changed();
-}
-
 void ServingViewBuilder::onZoneOut(const std::string &zone)
 {
     if (!m_zonesOut.insert(zone).second)
@@ -119,15 +107,6 @@
     changed();
 }
 
-void ServingViewBuilder::onZonesOut(const std::set<std::string> &zones)
-{
-    if (zones == m_zonesOut)
-        return;
-    m_zonesOut = zones;
-    logEvent(LogLevel::Info, "zonesOut", {{"count", zones.size()}});
-    changed();
-}
-
 void ServingViewBuilder::setEntries(std::vector<EntryAddress> entries, std::uint32_t senders)
 {
     if (entries == m_entries && senders == m_senders)
--- a/tests/upstream_connections_test.cpp
+++ b/tests/upstream_connections_test.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-const UpstreamHeaderNames Names{"Call-Id",        "Time-Left-Ms",  "Signature",
-                                "Meant-For", "Did-Not-Run", "Own-Load"};
+const UpstreamHeaderNames Names{"Call-Id",   "Time-Left-Ms", "Signature",
+                                "Meant-For", "Did-Not-Run",  "Own-Load"};
 
 /// Longest wait for anything in these tests.
 constexpr auto TestTimeout = 3s;
