Send callers to the large daemons while these are not busy

Change: members gossip their processor share and whether their workers' timers are late; the directory names the large daemons if six or more are spread over two zones, leaves out a few busy ones and names all when a third is busy. Connections are divided among the daemons that callers are sent to; the others close theirs when idle.

--- /dev/null
+++ b/include/geraniumcart/entry_selection.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <geraniumcart/member.h>
+#include <geraniumcart/snapshot.h>
+
+#include <span>
+#include <vector>
+
+namespace geraniumcart {
+
+/// Picks the daemons that callers are sent to: those with the largest processor shares, as long as
+/// enough of them are there and they are spread over availability zones; all that can serve
+/// otherwise. Answers the light load of a large fleet: a request over many shards is served faster
+/// by a large daemon, and few daemons keep their connections to searchers in use. A few busy
+/// daemons are left out; a crowd that makes many of them busy is answered by sending callers to
+/// all.
+std::vector<EntryAddress> selectEntries(std::span<const Member> members);
+
+} // namespace geraniumcart
--- a/include/geraniumcart/gateway_settings.h
+++ b/include/geraniumcart/gateway_settings.h
@@ -26,6 +26,8 @@
     std::vector<std::string> seeds;
     std::string storeAddress;
     std::uint32_t workers = 1;
+    /// Thousandths of a core.
+    std::uint32_t processorShare = 1000;
     RetryAllowance retries;
     /// Time from the request to stop until the process is ended by force.
     Duration stopGrace = std::chrono::seconds(6);
--- a/include/geraniumcart/member.h
+++ b/include/geraniumcart/member.h
@@ -31,6 +31,8 @@
     MemberState state = MemberState::Alive;
     /// Processor share in thousandths of a core; 0 where the member does not say.
     std::uint32_t weight = 0;
+    /// The member has more to do than its processor share allows.
+    bool isBusy = false;
     bool operator==(const Member &) const = default;
 };
 
--- a/include/geraniumcart/membership.h
+++ b/include/geraniumcart/membership.h
@@ -61,6 +61,8 @@
     void setAddress(const std::string &address) { m_config.self.address = address; }
     /// Announces where callers connect, once this daemon can serve them.
     void announceAddress(const std::string &address);
+    /// Announces that this daemon is busy, or no longer so.
+    void announceBusy(bool isBusy);
     /// Adds peers to join through, as the host list names them.
     void setSeeds(std::vector<std::string> seeds);
 
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -6,6 +6,7 @@
 #include <geraniumcart/snapshot.h>
 #include <geraniumcart/upstream.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,11 +35,17 @@
     std::map<std::string, std::shared_ptr<HedgingPolicy>, std::less<>> hedging;
     /// Daemons that callers may connect to.
     std::vector<EntryAddress> entries;
-    /// Daemons that may send to the same searchers, this one included.
-    std::uint32_t senders = 1;
     /// True during a planned stop: answers ask callers to connect elsewhere.
     bool isLeaving = false;
 
+    /// Daemons that may send to the same searchers, this one included. Bounds that must hold
+    /// whatever callers do are divided by it.
+    std::uint32_t senders = 1;
+    /// Daemons that callers are sent to. Connections are divided among these.
+    std::uint32_t listed() const
+    {
+        return std::max(1U, static_cast<std::uint32_t>(entries.size()));
+    }
     const ServiceUpstreams *find(std::string_view service) const
     {
         const auto found = services.find(service);
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -11,9 +11,9 @@
 
 namespace geraniumcart {
 
-/// Connections that one worker may hold to one searcher of @p profile. The sum over all daemons
-/// stays under the searcher's limit, also while a few daemons join.
-std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t senders);
+/// Connections that one worker may hold to one searcher of @p profile. The sum over the daemons
+/// that callers are sent to stays under the searcher's limit, also while a few join.
+std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t listed);
 
 /// Least time between two requests of one daemon to one cold searcher of @p profile. The sum over
 /// all daemons stays under what the searcher bears. Zero sets no bound.
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -110,7 +110,7 @@
     return wire::CreateMemberDirect(builder, member.name.c_str(), member.zone.c_str(),
                                     member.address.c_str(), member.peerAddress.c_str(),
                                     member.incarnation, static_cast<std::uint8_t>(member.state),
-                                    member.weight);
+                                    member.weight, member.isBusy);
 }
 
 bool decodeMember(const wire::Member &member, Member &out)
@@ -120,6 +120,7 @@
     out.incarnation = member.incarnation();
     out.state = static_cast<MemberState>(member.state());
     out.weight = member.weight();
+    out.isBusy = member.busy();
     return decodeString(member.name(), out.name) && decodeString(member.zone(), out.zone) &&
            decodeString(member.address(), out.address) &&
            decodeString(member.peer_address(), out.peerAddress) && !out.name.empty() &&
--- a/src/connection/upstream_connections.cpp
+++ b/src/connection/upstream_connections.cpp
@@ -17,8 +17,6 @@
 /// An idle connection is closed this long before the searcher would, so that no request crosses
 /// its close.
 constexpr std::chrono::milliseconds IdleMargin{1000};
-/// Idle time after which a connection is closed where the searcher states none.
-constexpr std::chrono::seconds DefaultIdleTime{60};
 
 } // namespace
 
@@ -172,7 +170,10 @@
 
 void UpstreamConnections::setIdle(Line &line)
 {
-    const Duration idle = line.link->keepAlive().value_or(DefaultIdleTime) - IdleMargin;
+    Duration idle = m_idleTime;
+    if (line.link->keepAlive())
+        idle = std::min<Duration>(idle, *line.link->keepAlive() - IdleMargin);
+    disarm(line.timer);
     line.timer = m_timers.schedule(idle, [this, link = std::weak_ptr(line.link)] {
         const auto held = link.lock();
         Line *expired = held ? lineOf(*held) : nullptr;
@@ -183,6 +184,16 @@
     });
 }
 
+void UpstreamConnections::setIdleTime(Duration time)
+{
+    if (std::exchange(m_idleTime, time) == time)
+        return;
+    for (const auto &[upstream, lines] : m_lines)
+        for (const auto &line : lines)
+            if (line->isOpen && !line->exchange)
+                setIdle(*line);
+}
+
 void UpstreamConnections::onLinkOpen(UpstreamLink &link)
 {
     Line &line = *lineOf(link);
--- a/src/connection/upstream_connections_p.h
+++ b/src/connection/upstream_connections_p.h
@@ -37,6 +37,8 @@
     void cancel(ExchangeId id) override;
     void warmUp(const std::shared_ptr<Upstream> &upstream) override;
 
+    /// Sets for how long connections stay open without a request.
+    void setIdleTime(Duration time);
     const LinkCounts &counts() const { return m_counts; }
 
 private:
@@ -81,6 +83,7 @@
     std::unordered_map<const Upstream *, Lines> m_lines;
     std::unordered_map<const UpstreamLink *, Line *> m_byLink;
     std::unordered_map<ExchangeId, Line *> m_byExchange;
+    Duration m_idleTime = std::chrono::seconds(60);
     ExchangeId m_lastId = 0;
     LinkCounts m_counts;
 };
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -5,14 +5,17 @@
 #include "connection/peer_listener_p.h"
 #include "connection/upstream_connections_p.h"
 #include "process/log_p.h"
+#include "process/loop_lag_p.h"
 #include "process/worker_pool_p.h"
 
+#include <geraniumcart/entry_selection.h>
 #include <geraniumcart/membership.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <optional>
 #include <random>
@@ -28,6 +31,10 @@
 constexpr const char *Cell = "gateway";
 /// A daemon is listed once it had this long to open its connections to searchers.
 constexpr std::chrono::milliseconds ConnectionLeadTime{1200};
+/// Idle connections of a daemon that callers are sent to stay open for their next requests; those
+/// of another one only take a place that a listed daemon needs.
+constexpr std::chrono::seconds ListedIdleTime{60};
+constexpr std::chrono::milliseconds UnlistedIdleTime{200};
 /// Connections to searchers that appear together are opened spread over this time, since each
 /// opening holds a slot of the searcher for some ms and all daemons see it at the same moment.
 constexpr std::chrono::milliseconds WarmUpSpread{1000};
@@ -60,6 +67,7 @@
     UpstreamChoice choice;
     CallCounts counts;
     Gateway gateway;
+    std::optional<LoopLag> lag;
     /// Searchers to which a connection was opened ahead of need.
     std::unordered_set<std::string> warmed;
 };
@@ -78,6 +86,7 @@
     config.self.name = settings.name;
     config.self.zone = settings.zone;
     config.self.peerAddress = settings.peerAddress;
+    config.self.weight = settings.processorShare;
     for (const std::string &seed : settings.seeds)
         if (seed != settings.peerAddress)
             config.seeds.push_back(seed);
@@ -110,6 +119,7 @@
     void onView();
     void warmUp(WorkerPart &part);
     void becomeReady();
+    void onBusy(bool isBusy);
     void onMembersChanged();
     void onPeerMessage(const std::string &peer, PeerMessage message);
     std::optional<CallerListener> &listen(std::optional<CallerListener> &listener,
@@ -136,6 +146,7 @@
     std::optional<PeerListener> m_peers;
     std::optional<FleetRelay> m_relay;
     std::unique_ptr<FleetSource> m_source;
+    int m_busyWorkers = 0;
     bool m_isReadyDue = false;
     bool m_isStopping = false;
 };
@@ -220,6 +231,12 @@
               {"zone", m_settings.zone},
               {"address", m_settings.callerAddress}});
     awaitSignal();
+    for (const auto &part : m_parts) {
+        part->lag.emplace(part->worker.timers, [this](bool isBusy) {
+            asio::post(m_context, [this, isBusy] { onBusy(isBusy); });
+        });
+        part->lag->start();
+    }
     m_relay->start();
     m_membership->start();
     m_workers.start();
@@ -260,6 +277,14 @@
 void GatewayDaemon::Parts::warmUp(WorkerPart &part)
 {
     const ServingViewPin view = m_views.pin();
+    const bool isListed = std::any_of(view->entries.begin(), view->entries.end(),
+                                      [this](const EntryAddress &entry) {
+                                          return entry.address == m_settings.callerAddress;
+                                      });
+    part.connections.setIdleTime(isListed ? ListedIdleTime : UnlistedIdleTime);
+    // Before it is listed for the first time a daemon prepares for its callers.
+    if (!isListed && m_isReady)
+        return;
     std::minstd_rand random{std::random_device{}()};
     std::uniform_int_distribution<Duration::rep> spread(0, Duration(WarmUpSpread).count());
     std::unordered_set<std::string> present;
@@ -284,18 +309,21 @@
     m_membership->announceAddress(m_settings.callerAddress);
 }
 
+void GatewayDaemon::Parts::onBusy(bool isBusy)
+{
+    m_busyWorkers += isBusy ? 1 : -1;
+    logEvent(LogLevel::Info, isBusy ? "workerBusy" : "workerIdle", {{"busy", m_busyWorkers}});
+    m_membership->announceBusy(m_busyWorkers > 0);
+}
+
 void GatewayDaemon::Parts::onMembersChanged()
 {
-    std::vector<EntryAddress> entries;
-    std::uint32_t present = 0;
-    for (const Member &member : m_membership->members()) {
-        if (isPresent(member.state))
-            ++present;
-        if (member.state == MemberState::Alive && !member.address.empty())
-            entries.push_back({member.address, member.zone, 1});
-    }
-    m_relay->setMembers(m_membership->members());
-    m_builder.setEntries(std::move(entries), present);
+    const std::vector<Member> members = m_membership->members();
+    m_relay->setMembers(members);
+    const auto present = std::count_if(members.begin(), members.end(), [](const Member &member) {
+        return isPresent(member.state);
+    });
+    m_builder.setEntries(selectEntries(members), static_cast<std::uint32_t>(present));
 }
 
 void GatewayDaemon::Parts::onPeerMessage(const std::string &peer, PeerMessage message)
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -330,6 +330,12 @@
     bumpSelf(m_config.self.state);
 }
 
+void Membership::announceBusy(bool isBusy)
+{
+    m_config.self.isBusy = isBusy;
+    bumpSelf(m_config.self.state);
+}
+
 void Membership::announceLeaving()
 {
     bumpSelf(MemberState::Leaving);
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -159,13 +159,12 @@
 bool ServiceCall::mayUse(const Upstream &upstream, TimePoint now)
 {
     const ServiceProfile &profile = m_spec.service->profile;
-    const std::uint32_t senders = m_spec.view->senders;
     if (upstream.isReplaced() || !isUntried(upstream))
         return false;
     // A searcher that has just refused or failed gets nothing more from this call for a moment.
     if (m_sends > 0 && now < upstream.suspectUntil())
         return false;
-    return m_context.transport.hasRoom(upstream, connectionShare(profile, senders));
+    return m_context.transport.hasRoom(upstream, connectionShare(profile, m_spec.view->listed()));
 }
 
 bool ServiceCall::tryTakeBudget()
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -57,9 +57,9 @@
 
 } // namespace
 
-std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t senders)
+std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t listed)
 {
-    const std::uint32_t share = profile.maxConnections / (senders + JoiningDaemons);
+    const std::uint32_t share = profile.maxConnections / (listed + JoiningDaemons);
     return std::clamp(share, 1U, MostConnections);
 }
 
--- /dev/null
+++ b/tests/entry_selection_test.cpp
@@ -0,0 +1,116 @@
+#include "process/loop_lag_p.h"
+
+#include <geraniumcart/entry_selection.h>
+#include <geraniumcart/manual_timer_service.h>
+
+#include <catch2/catch.hpp>
+
+using namespace geraniumcart;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Group
+{
+    int count;
+    std::uint32_t weight;
+    int zones;
+    int busy = 0;
+    MemberState state = MemberState::Alive;
+    bool hasAddress = true;
+};
+
+std::vector<Member> membersOf(const std::vector<Group> &groups)
+{
+    std::vector<Member> members;
+    for (const Group &group : groups)
+        for (int i = 0; i < group.count; ++i) {
+            Member member;
+            member.name = "d" + std::to_string(members.size());
+            member.zone = "z" + std::to_string(i % group.zones);
+            if (group.hasAddress)
+                member.address = "10.0.0." + std::to_string(members.size()) + ":80";
+            member.state = group.state;
+            member.weight = group.weight;
+            member.isBusy = i < group.busy;
+            members.push_back(member);
+        }
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("callers are sent to the daemons that serve them best")
+{
+    using Groups = std::vector<Group>;
+    const auto [failure, groups, expected] = GENERATE(table<const char *, Groups, std::size_t>({
+            {"equal daemons are left out", {{8, 250, 3}}, 8},
+            {"small daemons get callers of a light load", {{8, 500, 4}, {52, 120, 4}}, 8},
+            {"too few large daemons carry all callers", {{5, 500, 4}, {52, 120, 4}}, 57},
+            {"large daemons of one zone carry all callers", {{8, 500, 1}, {52, 120, 4}}, 60},
+            {"two busy daemons keep their callers", {{8, 500, 4, 2}, {52, 120, 4}}, 6},
+            {"a crowd stays on the large daemons", {{8, 500, 4, 3}, {52, 120, 4}}, 60},
+            {"a crowd everywhere leaves callers without a daemon", {{8, 250, 3, 8}}, 8},
+            {"a leaving daemon gets callers",
+             {{7, 250, 3}, {1, 250, 1, 0, MemberState::Leaving}},
+             7},
+            {"a daemon that is suspected gets callers",
+             {{7, 250, 3}, {1, 250, 1, 0, MemberState::Suspect}},
+             7},
+            {"a daemon that knows nothing yet gets callers",
+             {{7, 250, 3}, {1, 250, 1, 0, MemberState::Alive, false}},
+             7},
+            {"members of an older release are left out", {{8, 0, 3}}, 8},
+    }));
+    INFO(failure);
+    CHECK(selectEntries(membersOf(groups)).size() == expected);
+}
+
+namespace {
+
+/// Timers that fire late, as those of a worker with too much to do.
+class LateTimers final : public TimerService
+{
+public:
+    TimePoint now() const override { return m_now; }
+    WallTime wallNow() const override { return {}; }
+    TimerId schedule(Duration delay, std::function<void()> callback) override
+    {
+        m_due = m_now + delay;
+        m_callback = std::move(callback);
+        return 1;
+    }
+    void cancel(TimerId) override {}
+    void fire(Duration lag)
+    {
+        m_now = m_due + lag;
+        std::exchange(m_callback, nullptr)();
+    }
+
+private:
+    TimePoint m_now{1h};
+    TimePoint m_due{};
+    std::function<void()> m_callback;
+};
+
+} // namespace
+
+TEST_CASE("a worker is busy while its timers are late")
+{
+    const auto [failure, lags, isBusy] =
+            GENERATE(table<const char *, std::vector<std::pair<int, Duration>>, bool>({
+                    {"an idle worker is busy", {{100, 1ms}}, false},
+                    {"a single late timer makes a worker busy", {{20, 0ms}, {1, 30ms}}, false},
+                    {"lasting lateness goes unnoticed", {{20, 20ms}}, true},
+                    {"a worker that recovered stays busy", {{20, 20ms}, {100, 0ms}}, false},
+                    {"callers are moved back at once", {{20, 20ms}, {10, 0ms}}, true},
+            }));
+    INFO(failure);
+    LateTimers timers;
+    LoopLag lag(timers, [](bool) {});
+    lag.start();
+    for (const auto &[count, late] : lags)
+        for (int i = 0; i < count; ++i)
+            timers.fire(late);
+    CHECK(lag.isBusy() == isBusy);
+}
