Log each request that ends badly, without ever waiting, and explain it by its id

Cause: a failed request left one line without the searchers that were tried, written to stderr by the thread that serves requests.

Change: a bounded queue and a writer thread put JSON lines on standard output and count dropped ones; a request that ends late, partial or failed is logged with every hedge, retry, refusal and loss and what was known of the searcher, 20 requests a second at most and one good request in 50; gauges and histograms by route on the metrics address; `geraniumcart explain ID FILE...` prints a request's life.

--- a/include/geraniumcart/gateway.h
+++ b/include/geraniumcart/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumcart/exchange.h>
+#include <geraniumcart/metrics.h>
 #include <geraniumcart/service_call.h>
 #include <geraniumcart/serving_view.h>
 
@@ -85,6 +86,7 @@
     std::shared_ptr<const ForwardRequest> request;
     TimePoint arrival{};
     TimePoint deadline{};
+    std::shared_ptr<RequestTrace> trace;
 };
 
 /// A request to one searcher of one service.
@@ -99,9 +101,10 @@
 public:
     using Callback = std::function<void(RoutedAnswer)>;
 
-    Gateway(const CallContext &calls, const ServingViewPublisher &views)
+    Gateway(const CallContext &calls, const ServingViewPublisher &views, Stats &stats)
         : m_calls(calls)
         , m_views(views)
+        , m_stats(stats)
     {
     }
 
@@ -113,21 +116,28 @@
     ServingViewPin view() const { return m_views.pin(); }
 
 private:
-    const std::string &pickTarget(const Route &route);
-    void finish(std::uint64_t id, RoutedAnswer answer);
-
     struct Call
     {
         std::shared_ptr<RoutedRun> run;
         Callback done;
         RoutedRequest request;
-        std::string route;
+        /// Keeps the route alive.
+        ServingViewPin view;
+        const Route *route = nullptr;
+        std::shared_ptr<RequestTrace> trace;
     };
+
+    const std::string &pickTarget(const Route &route);
+    void finish(std::uint64_t id, RoutedAnswer answer);
+    void logRequest(const Call &call, const RoutedAnswer &answer, Duration took);
+
     /// Running weights of a split, so that each part gets its share evenly.
     using SplitState = std::map<std::string, double>;
 
     CallContext m_calls;
     const ServingViewPublisher &m_views;
+    Stats &m_stats;
+    TraceLogPolicy m_traceLog;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, Call> m_open;
     std::map<std::string, SplitState> m_splits;
--- a/include/geraniumcart/gateway_settings.h
+++ b/include/geraniumcart/gateway_settings.h
@@ -20,6 +20,8 @@
     std::string directoryAddress;
     /// Where readiness is asked for.
     std::string readyAddress;
+    /// Where metrics are served.
+    std::string metricsAddress;
     /// Where peers connect.
     std::string peerAddress;
     /// Peers to join through.
--- a/include/geraniumcart/hedging.h
+++ b/include/geraniumcart/hedging.h
@@ -20,6 +20,8 @@
 
     void earn(std::uint32_t firstAttempts);
     bool tryTake();
+    /// Tokens that are saved up.
+    double left() const;
 
 private:
     // Thousandths of a token, so that one atomic integer is enough.
--- a/include/geraniumcart/metrics.h
+++ b/include/geraniumcart/metrics.h
@@ -33,6 +33,16 @@
     RateLimited,
     Overloaded,
     InvariantViolations,
+    /// Requests passed on by route, by outcome.
+    RoutedReplies,
+    RoutedFailureReplies,
+    RoutedMerged,
+    RoutedPartial,
+    RoutedRefused,
+    RoutedNoRoute,
+    RoutedFailed,
+    RoutedTimedOut,
+    BudgetExhausted,
     Count,
 };
 
--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -2,6 +2,7 @@
 
 #include <geraniumcart/exchange.h>
 #include <geraniumcart/hedging.h>
+#include <geraniumcart/request_trace.h>
 #include <geraniumcart/route_table.h>
 #include <geraniumcart/serving_view.h>
 #include <geraniumcart/upstream_choice.h>
@@ -49,6 +50,10 @@
     Duration firstHedgeDelay{};
     /// Paces what goes beyond the first attempt.
     AttemptBudget *budget = nullptr;
+    /// Notes what happens on the way.
+    std::shared_ptr<RequestTrace> trace;
+    /// Also notes first sends, as for a request to a single searcher.
+    bool tracesFirstSend = false;
     /// A searcher's failure is worth passing on when no other attempt is left.
     bool acceptsFailureReply = false;
 };
@@ -113,6 +118,7 @@
     bool isUntried(const Upstream &upstream) const;
     bool mayUse(const Upstream &upstream, TimePoint now);
     bool tryTakeBudget();
+    void note(TraceStep step, const Upstream *upstream = nullptr);
     void continueAfterFailure();
     void proceed(Cause cause);
     void armHedge();
@@ -134,6 +140,7 @@
     /// Sends that may have reached a searcher.
     std::uint32_t m_arrivals = 0;
     bool m_wasRefused = false;
+    bool m_wasWithoutRoom = false;
     /// Best answer so far that is a searcher's failure.
     std::optional<UpstreamReply> m_failureReply;
     TimerId m_hedgeTimer = 0;
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -37,6 +37,7 @@
     std::vector<EntryAddress> entries;
     /// True during a planned stop: answers ask callers to connect elsewhere.
     bool isLeaving = false;
+    TimePoint publishedAt{};
 
     /// Daemons that may send to the same searchers, this one included. Bounds that must hold
     /// whatever callers do are divided by it.
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -14,6 +14,30 @@
 
 } // namespace
 
+namespace {
+
+Counter counterOf(const RoutedAnswer &answer)
+{
+    switch (answer.status) {
+    case RoutedStatus::Reply:
+        return answer.reply.isSuccess() ? Counter::RoutedReplies : Counter::RoutedFailureReplies;
+    case RoutedStatus::Merged:
+        return answer.missingShards == 0 ? Counter::RoutedMerged : Counter::RoutedPartial;
+    case RoutedStatus::NotReady:
+    case RoutedStatus::Refused:
+        return Counter::RoutedRefused;
+    case RoutedStatus::NoRoute:
+        return Counter::RoutedNoRoute;
+    case RoutedStatus::Failed:
+        return Counter::RoutedFailed;
+    case RoutedStatus::TimedOut:
+        return Counter::RoutedTimedOut;
+    }
+    return Counter::RoutedFailed;
+}
+
+} // namespace
+
 const char *toString(RoutedStatus status)
 {
     switch (status) {
@@ -43,6 +67,7 @@
     if (!view->routes) {
         refusal.status = RoutedStatus::NotReady;
         refusal.retryAfter = NotReadyRetryAfter;
+        m_stats.add(counterOf(refusal));
         done(std::move(refusal));
         return 0;
     }
@@ -50,10 +75,15 @@
     const Route *route = view->routes->match(request.host, target.substr(0, target.find('?')));
     if (!route) {
         refusal.status = RoutedStatus::NoRoute;
+        m_stats.add(counterOf(refusal));
+        logEvent(LogLevel::Debug, "noRoute",
+                 {{"id", request.forward->id}, {"configuration", view->routes->version}});
         done(std::move(refusal));
         return 0;
     }
-    RoutedRunSpec spec{m_calls, view, route, {}, request.forward, request.arrival, {}};
+    RoutedRunSpec spec{m_calls, view, route, {}, request.forward, request.arrival, {}, {}};
+    const auto trace = std::make_shared<RequestTrace>(request.arrival);
+    spec.trace = trace;
     spec.deadline =
             request.arrival +
             std::min<Duration>(route->timeout, request.callerWaits.value_or(route->timeout));
@@ -67,12 +97,15 @@
         if (!view->find(spec.service)) {
             refusal.status = RoutedStatus::Refused;
             refusal.retryAfter = NotReadyRetryAfter;
+            m_stats.add(counterOf(refusal));
+            logEvent(LogLevel::Warn, "serviceUnknown",
+                     {{"id", request.forward->id}, {"service", spec.service}});
             done(std::move(refusal));
             return 0;
         }
         run = makeForwardRun(std::move(spec), onDone);
     }
-    m_open[id] = {run, std::move(done), std::move(request), route->name};
+    m_open[id] = {run, std::move(done), std::move(request), view, route, trace};
     m_running.fetch_add(1, std::memory_order_acq_rel);
     run->start();
     return id;
@@ -108,6 +141,42 @@
     m_running.fetch_sub(1, std::memory_order_acq_rel);
 }
 
+void Gateway::logRequest(const Call &call, const RoutedAnswer &answer, Duration took)
+{
+    const TimePoint now = m_calls.timers.now();
+    const bool isWhole =
+            answer.status == RoutedStatus::Reply
+                    ? answer.reply.isSuccess()
+                    : answer.status == RoutedStatus::Merged && answer.missingShards == 0;
+    const bool isInTime = took <= call.route->latencyObjective;
+    if (!m_traceLog.shouldLog(now, isWhole && isInTime))
+        return;
+    const std::string &id = call.request.forward->id;
+    for (const TraceEntry &entry : call.trace->entries())
+        logEvent(LogLevel::Info, "requestStep",
+                 {{"id", id},
+                  {"at", entry.at},
+                  {"step", toString(entry.step)},
+                  {"service", entry.service},
+                  {"instance", entry.instanceId},
+                  {"inFlight", entry.inFlight},
+                  {"latency", entry.latency},
+                  {"silence", entry.silence}});
+    logEvent(LogLevel::Info, "requestEnded",
+             {{"id", id},
+              {"route", call.route->name},
+              {"configuration", call.view->routes->version},
+              {"outcome", toString(answer.status)},
+              {"status", answer.status == RoutedStatus::Reply ? answer.reply.status : 0},
+              {"shards", call.route->shards.size()},
+              {"missingShards", answer.missingShards},
+              {"took", took},
+              {"objective", call.route->latencyObjective},
+              {"timeout", call.route->timeout},
+              {"stepsOmitted", call.trace->omitted()},
+              {"requestsNotLogged", m_traceLog.takeSuppressed()}});
+}
+
 void Gateway::finish(std::uint64_t id, RoutedAnswer answer)
 {
     const auto found = m_open.find(id);
@@ -118,14 +187,14 @@
     m_running.fetch_sub(1, std::memory_order_acq_rel);
     answer.shouldClose = m_views.pin()->isLeaving;
     const Duration took = m_calls.timers.now() - call.request.arrival;
-    if (answer.status != RoutedStatus::Reply &&
-        (answer.status != RoutedStatus::Merged || answer.missingShards > 0))
-        logEvent(LogLevel::Info, "requestEnded",
-                 {{"id", call.request.forward->id},
-                  {"route", call.route},
-                  {"outcome", toString(answer.status)},
-                  {"missingShards", answer.missingShards},
-                  {"took", took}});
+    logRequest(call, answer, took);
+    const std::size_t shards = call.route->shards.size();
+    const double coverage = shards == 0 ? 1
+                                        : 1 - static_cast<double>(answer.missingShards) /
+                                                          static_cast<double>(shards);
+    if (answer.status == RoutedStatus::Reply || answer.status == RoutedStatus::Merged)
+        m_stats.recordRequest(call.route->host, call.route->name, took, coverage);
+    m_stats.add(counterOf(answer));
     call.done(std::move(answer));
 }
 
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -2,8 +2,10 @@
 
 #include "connection/caller_listener_p.h"
 #include "connection/control_network_p.h"
+#include "connection/metrics_handler_p.h"
 #include "connection/peer_listener_p.h"
 #include "connection/upstream_connections_p.h"
+#include "process/gateway_metrics_p.h"
 #include "process/log_p.h"
 #include "process/loop_lag_p.h"
 #include "process/worker_pool_p.h"
@@ -42,6 +44,8 @@
 constexpr std::chrono::milliseconds AcceptWhileLeaving{3500};
 /// Part of the stop's grace that is kept for ending the process.
 constexpr std::chrono::milliseconds StopReserve{400};
+/// Interval at which counts of the workers reach the metrics.
+constexpr std::chrono::seconds ExportInterval{1};
 /// Interval at which a planned stop looks whether the last requests have ended.
 constexpr std::chrono::milliseconds StopPollInterval{20};
 /// Interval between two heartbeats to peers. A lost daemon is unlisted in about three seconds.
@@ -54,11 +58,11 @@
 struct WorkerPart
 {
     WorkerPart(Worker &ownWorker, const GatewaySettings &settings, const UpstreamHeaderNames &names,
-               const ServingViewPublisher &views)
+               const ServingViewPublisher &views, Stats &stats)
         : worker(ownWorker)
         , connections(worker.context, worker.timers, names)
         , choice(settings.zone, std::random_device{}())
-        , gateway({worker.timers, connections, choice, counts}, views)
+        , gateway({worker.timers, connections, choice, counts}, views, stats)
     {
     }
 
@@ -72,6 +76,13 @@
     std::unordered_set<std::string> warmed;
 };
 
+/// What was added to the metrics so far.
+struct ExportedCounts
+{
+    CallCounts calls;
+    LinkCounts links;
+};
+
 /// Membership carries no other news here.
 class NoGossip final : public GossipExchange
 {
@@ -116,6 +127,8 @@
     void end();
     std::uint32_t runningCalls() const;
 
+    std::string metricsText() const;
+    void exportCounts(WorkerPart &part, ExportedCounts &exported);
     void onView();
     void warmUp(WorkerPart &part);
     void becomeReady();
@@ -133,6 +146,7 @@
     asio::signal_set m_signals;
     AsioTimerService m_timers{m_context};
     ServingViewPublisher m_views;
+    Stats m_stats;
     ServingViewBuilder m_builder;
     WorkerPool m_workers;
     std::vector<std::unique_ptr<WorkerPart>> m_parts;
@@ -140,6 +154,9 @@
     std::optional<CallerListener> m_callers;
     std::optional<CallerListener> m_directory;
     std::optional<CallerListener> m_readiness;
+    std::optional<CallerListener> m_metrics;
+    /// Counts that are in m_stats already, by worker.
+    std::vector<ExportedCounts> m_exported;
     NoGossip m_gossip;
     std::optional<ControlNetwork> m_network;
     std::optional<Membership> m_membership;
@@ -160,8 +177,8 @@
     , m_workers(m_settings.workers)
 {
     for (std::uint32_t i = 0; i < m_workers.size(); ++i)
-        m_parts.push_back(std::make_unique<WorkerPart>(m_workers.worker(i), m_settings,
-                                                       m_platform.upstreamHeaders(), m_views));
+        m_parts.push_back(std::make_unique<WorkerPart>(
+                m_workers.worker(i), m_settings, m_platform.upstreamHeaders(), m_views, m_stats));
 }
 
 GatewayDaemon::Parts::~Parts()
@@ -180,6 +197,11 @@
         directory.push_back(m_platform.makeDirectoryHandler(m_views));
         readiness.push_back(m_platform.makeReadinessHandler(m_isReady));
     }
+    std::vector<std::unique_ptr<CallerHandler>> metrics;
+    for (std::uint32_t i = 0; i < m_workers.size(); ++i)
+        metrics.push_back(std::make_unique<MetricsHandler>([this] { return metricsText(); }));
+    if (!listen(m_metrics, m_settings.metricsAddress, std::move(metrics))->open(reason))
+        return false;
     if (!listen(m_callers, m_settings.callerAddress, std::move(callers))->open(reason) ||
         !listen(m_directory, m_settings.directoryAddress, std::move(directory))->open(reason) ||
         !listen(m_readiness, m_settings.readyAddress, std::move(readiness))->open(reason))
@@ -231,6 +253,9 @@
               {"zone", m_settings.zone},
               {"address", m_settings.callerAddress}});
     awaitSignal();
+    m_exported.resize(m_parts.size());
+    for (std::size_t i = 0; i < m_parts.size(); ++i)
+        exportCounts(*m_parts[i], m_exported[i]);
     for (const auto &part : m_parts) {
         part->lag.emplace(part->worker.timers, [this](bool isBusy) {
             asio::post(m_context, [this, isBusy] { onBusy(isBusy); });
@@ -243,6 +268,7 @@
     m_callers->start();
     m_directory->start();
     m_readiness->start();
+    m_metrics->start();
     m_context.run();
     m_workers.stop();
     logEvent(LogLevel::Info, "stopped");
@@ -309,6 +335,26 @@
     m_membership->announceAddress(m_settings.callerAddress);
 }
 
+std::string GatewayDaemon::Parts::metricsText() const
+{
+    return m_stats.prometheusText() + gatewayGauges(*m_views.pin(), m_timers.now());
+}
+
+void GatewayDaemon::Parts::exportCounts(WorkerPart &part, ExportedCounts &exported)
+{
+    const CallCounts calls = part.counts;
+    const LinkCounts links = part.connections.counts();
+    m_stats.add(Counter::SubRequests, calls.sent - exported.calls.sent);
+    m_stats.add(Counter::Hedges, calls.hedged - exported.calls.hedged);
+    m_stats.add(Counter::Retries, calls.retried - exported.calls.retried);
+    m_stats.add(Counter::BudgetExhausted, calls.budgetExhausted - exported.calls.budgetExhausted);
+    m_stats.add(Counter::ConnectionsOpened, links.opened - exported.links.opened);
+    m_stats.add(Counter::SilentConnections, links.timedOut - exported.links.timedOut);
+    exported = {calls, links};
+    part.worker.timers.schedule(ExportInterval,
+                                [this, &part, &exported] { exportCounts(part, exported); });
+}
+
 void GatewayDaemon::Parts::onBusy(bool isBusy)
 {
     m_busyWorkers += isBusy ? 1 : -1;
@@ -365,6 +411,7 @@
     m_callers->drain();
     m_directory->drain();
     m_readiness->drain();
+    m_metrics->drain();
 }
 
 std::uint32_t GatewayDaemon::Parts::runningCalls() const
--- a/src/process/hedging.cpp
+++ b/src/process/hedging.cpp
@@ -125,6 +125,11 @@
         m_millitokens.fetch_sub(std::min(earned, saved - m_limit), std::memory_order_relaxed);
 }
 
+double AttemptBudget::left() const
+{
+    return static_cast<double>(m_millitokens.load(std::memory_order_relaxed)) / MillitokensPerToken;
+}
+
 bool AttemptBudget::tryTake()
 {
     if (m_millitokens.fetch_sub(MillitokensPerToken, std::memory_order_relaxed) >=
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,5 +1,8 @@
 #include "process/log_p.h"
 
+#include "process/log_writer_p.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
@@ -9,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <unistd.h>
 
 namespace geraniumcart {
 
@@ -52,6 +56,40 @@
     return Instance;
 }
 
+/// Lines that may wait to be written; about a megabyte.
+constexpr std::size_t WaitingLines = 4096;
+
+/// Formats events on the thread that logs and leaves the writing to a LogWriter.
+class QueueAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit QueueAppender(const log4cxx::LayoutPtr &lines)
+        : m_lines(lines)
+        , m_writer(STDOUT_FILENO, WaitingLines)
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        m_lines->format(line, event, pool);
+        m_writer.push(std::move(line));
+    }
+    void close() override {}
+    bool requiresLayout() const override { return false; }
+    std::uint64_t dropped() const { return m_writer.dropped(); }
+
+private:
+    const log4cxx::LayoutPtr m_lines;
+    LogWriter m_writer;
+};
+
+std::shared_ptr<QueueAppender> &queueAppender()
+{
+    static std::shared_ptr<QueueAppender> instance;
+    return instance;
+}
+
 /// JSONLayout passes some control characters and broken UTF-8 through, which would make the line
 /// invalid JSON, so everything but printable ASCII is replaced.
 std::string printable(std::string_view text)
@@ -88,6 +126,26 @@
     logger()->setLevel(levelOf(level));
 }
 
+StandardOutputLog::StandardOutputLog()
+{
+    queueAppender() = std::make_shared<QueueAppender>(std::make_shared<log4cxx::JSONLayout>());
+    logger()->removeAllAppenders();
+    logger()->addAppender(queueAppender());
+}
+
+StandardOutputLog::~StandardOutputLog()
+{
+    logger()->removeAllAppenders();
+    logger()->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+            std::make_shared<log4cxx::JSONLayout>(), log4cxx::ConsoleAppender::getSystemErr()));
+    queueAppender().reset();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return queueAppender() ? queueAppender()->dropped() : 0;
+}
+
 void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields)
 {
     const log4cxx::LevelPtr threshold = levelOf(level);
--- a/src/process/log_p.h
+++ b/src/process/log_p.h
@@ -51,8 +51,22 @@
 /// level is Info. Thread-safe.
 void configureLogging(LogLevel level);
 
+/// Sends log events to stdout instead, through a bounded queue that never makes a caller wait, for
+/// as long as the object lives. One object at a time.
+class StandardOutputLog
+{
+public:
+    StandardOutputLog();
+    ~StandardOutputLog();
+    StandardOutputLog(const StandardOutputLog &) = delete;
+    StandardOutputLog &operator=(const StandardOutputLog &) = delete;
+};
+
+/// Log lines that were dropped because the reader of the log was too slow.
+std::uint64_t droppedLogLines();
+
 /// Writes one event. @p event is its stable name in camel case; everything that varies belongs in
-/// @p fields. Thread-safe; takes a lock, so it is not for the path of an ordinary request.
+/// @p fields. Thread-safe. Formatting takes some microseconds, so an ordinary request logs nothing.
 void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields = {});
 
 } // namespace geraniumcart
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -178,6 +178,24 @@
         return "overloaded";
     case Counter::InvariantViolations:
         return "invariant_violations";
+    case Counter::RoutedReplies:
+        return "routed_replies";
+    case Counter::RoutedFailureReplies:
+        return "routed_failure_replies";
+    case Counter::RoutedMerged:
+        return "routed_merged";
+    case Counter::RoutedPartial:
+        return "routed_partial";
+    case Counter::RoutedRefused:
+        return "routed_refused";
+    case Counter::RoutedNoRoute:
+        return "routed_no_route";
+    case Counter::RoutedFailed:
+        return "routed_failed";
+    case Counter::RoutedTimedOut:
+        return "routed_timed_out";
+    case Counter::BudgetExhausted:
+        return "attempt_budget_exhausted";
     case Counter::Count:
         break;
     }
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -30,6 +30,7 @@
     spec.hedging = run.view->hedging.at(run.route->name).get();
     spec.firstHedgeDelay = run.route->latencyObjective / FirstHedgeDivisor;
     spec.budget = spec.service->budget.get();
+    spec.trace = run.trace;
     return spec;
 }
 
@@ -57,6 +58,7 @@
     {
         ServiceCallSpec spec = callSpec(m_spec, m_spec.service);
         spec.acceptsFailureReply = true;
+        spec.tracesFirstSend = true;
         m_call = std::make_shared<ServiceCall>(m_spec.calls, std::move(spec),
                                                [weak = weak_from_this()](CallResult result) {
                                                    if (const auto self = weak.lock())
@@ -189,6 +191,8 @@
         if (!m_done)
             return;
         const bool isDeadline = m_spec.calls.timers.now() >= m_spec.deadline;
+        if (!m_isObjectivePast && m_open > 0)
+            m_spec.trace->note(m_spec.calls.timers.now(), TraceStep::ObjectivePassed, {});
         m_isObjectivePast = true;
         if (m_answered >= m_spec.route->minShards() || isDeadline)
             finish(RoutedStatus::TimedOut);
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -12,6 +12,22 @@
 /// Sends beyond the route's attempts that searchers may refuse without running the request.
 constexpr std::uint32_t ExtraSendsAfterRefusal = 2;
 
+TraceStep stepOf(ExchangeFailure failure)
+{
+    switch (failure) {
+    case ExchangeFailure::NotSent:
+        return TraceStep::NotSent;
+    case ExchangeFailure::Malformed:
+        return TraceStep::Malformed;
+    case ExchangeFailure::TimedOut:
+        return TraceStep::TimedOut;
+    case ExchangeFailure::Lost:
+    case ExchangeFailure::Cancelled:
+        break;
+    }
+    return TraceStep::Lost;
+}
+
 } // namespace
 
 const char *toString(ExchangeFailure failure)
@@ -103,6 +119,8 @@
         if (!self || !self->isOpen() || !self->m_attempts.empty())
             return;
         self->m_roomTimer = 0;
+        if (outcome == Dispatch::NoUpstream)
+            self->note(TraceStep::NoUpstream);
         if (self->m_failureReply)
             self->finish({std::move(self->m_failureReply), CallFailure::Unknown, false});
         else if (self->mayHaveRun())
@@ -125,8 +143,12 @@
     const TimePoint now = m_context.timers.now();
     const std::shared_ptr<Upstream> upstream = m_context.choice.choose(
             upstreams, now, [this, now](const Upstream &u) { return mayUse(u, now); });
-    if (!upstream)
+    if (!upstream) {
+        // Looked for again every few milliseconds; the first time tells enough.
+        if (!std::exchange(m_wasWithoutRoom, true))
+            note(TraceStep::NoRoom);
         return Dispatch::NoRoom;
+    }
     if (m_arrivals > 0 && !tryTakeBudget())
         return Dispatch::NoBudget;
     const Duration interval = warmUpInterval(m_spec.service->profile, m_spec.view->senders);
@@ -137,6 +159,11 @@
     const ExchangeId id =
             m_context.transport.send(upstream, m_spec.request, m_spec.deadline, shared_from_this());
     upstream->noteSent(now);
+    if (cause != Cause::First || m_spec.tracesFirstSend)
+        note(cause == Cause::First   ? TraceStep::Sent
+             : cause == Cause::Hedge ? TraceStep::Hedged
+                                     : TraceStep::Retried,
+             upstream.get());
     m_attempts[id] = {upstream, now, cause == Cause::Hedge};
     m_tried.push_back(upstream.get());
     ++m_sends;
@@ -172,9 +199,16 @@
     if (m_spec.budget->tryTake())
         return true;
     ++m_context.counts.budgetExhausted;
+    note(TraceStep::BudgetExhausted);
     return false;
 }
 
+void ServiceCall::note(TraceStep step, const Upstream *upstream)
+{
+    if (m_spec.trace && isOpen())
+        m_spec.trace->note(m_context.timers.now(), step, m_spec.service->profile.name, upstream);
+}
+
 void ServiceCall::armHedge()
 {
     if (m_spec.kind != RouteKind::Idempotent || !m_spec.hedging || m_hedgeTimer != 0)
@@ -214,6 +248,8 @@
         return;
     const TimePoint now = m_context.timers.now();
     if (reply.isNotRun) {
+        note(reply.isOtherInstance ? TraceStep::OtherInstance : TraceStep::Refused,
+             attempt.upstream.get());
         attempt.upstream->noteRefusal(now);
         if (reply.isOtherInstance)
             attempt.upstream->noteReplaced();
@@ -233,6 +269,7 @@
             finish({std::move(reply), CallFailure::Unknown, false});
         return;
     }
+    note(TraceStep::FailureReply, attempt.upstream.get());
     attempt.upstream->noteFailure(now);
     if (!isOpen())
         return;
@@ -246,6 +283,7 @@
     const Attempt attempt = takeAttempt(id);
     if (!attempt.upstream)
         return;
+    note(stepOf(failure), attempt.upstream.get());
     attempt.upstream->noteFailure(m_context.timers.now());
     if (failure == ExchangeFailure::NotSent) {
         --m_mayHaveRun;
@@ -273,6 +311,8 @@
     m_deadlineTimer = 0;
     if (!isOpen())
         return;
+    for (const auto &[id, attempt] : m_attempts)
+        note(TraceStep::TimedOut, attempt.upstream.get());
     if (m_failureReply)
         finish({std::move(m_failureReply), CallFailure::Unknown, false});
     else if (mayHaveRun())
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -145,6 +145,7 @@
     view.entries = m_entries;
     view.senders = m_senders;
     view.isLeaving = m_isLeaving;
+    view.publishedAt = m_timers.now();
     if (m_routes) {
         for (const auto &[name, profile] : m_routes->services) {
             auto &budget = m_budgets[name];
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -15,16 +15,16 @@
 
 namespace {
 
-/// What @p write sends to the process's stderr.
+/// What @p write sends to a descriptor of the process.
 template <class Write>
-std::string captureStderr(Write write)
+std::string capture(int descriptor, Write write)
 {
     std::FILE *file = std::tmpfile();
     REQUIRE(file);
-    const int saved = ::dup(STDERR_FILENO);
-    ::dup2(::fileno(file), STDERR_FILENO);
+    const int saved = ::dup(descriptor);
+    ::dup2(::fileno(file), descriptor);
     write();
-    ::dup2(saved, STDERR_FILENO);
+    ::dup2(saved, descriptor);
     ::close(saved);
     std::string result(static_cast<std::size_t>(std::ftell(file) >= 0 ? 65536 : 0), '\0');
     std::rewind(file);
@@ -33,8 +33,36 @@
     return result;
 }
 
+template <class Write>
+std::string captureStderr(Write write)
+{
+    return capture(STDERR_FILENO, write);
+}
+
 } // namespace
 
+// Guards against a daemon whose log does not reach its standard output, or reaches it in pieces.
+TEST_CASE("a daemon's events go to standard output while its log is open")
+{
+    const auto [failure, events] = GENERATE(table<const char *, int>({
+            {"an event is lost", 1},
+            {"events run into each other", 100},
+    }));
+    INFO(failure);
+    const std::string text = capture(STDOUT_FILENO, [count = events] {
+        const StandardOutputLog log;
+        for (int i = 0; i < count; ++i)
+            logEvent(LogLevel::Info, "event", {{"number", i}});
+    });
+    int lines = 0;
+    for (std::size_t at = 0; at < text.size(); at = text.find('\n', at) + 1, ++lines) {
+        const std::string line = text.substr(at, text.find('\n', at) - at);
+        CHECK(boost::json::parse(line).at("context_map").at("number").as_string() ==
+              std::to_string(lines));
+    }
+    CHECK(lines == events);
+}
+
 // Guards against log lines that a collector cannot parse.
 TEST_CASE("every log line is one JSON object whatever its fields hold")
 {
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -90,7 +90,7 @@
 
 constexpr const char *GoodSettings = R"({"name":"n","availabilityZone":"z",
     "callerAddress":"10.0.0.1:1","directoryAddress":"10.0.0.1:2","readyAddress":"10.0.0.1:3",
-    "peerAddress":"10.0.0.1:4","storeAddress":"10.0.0.2:5","seeds":["10.0.0.3:4"],"cores":1,"processorShare":0.25,
+    "metricsAddress":"10.0.0.1:9","peerAddress":"10.0.0.1:4","storeAddress":"10.0.0.2:5","seeds":["10.0.0.3:4"],"cores":1,"processorShare":0.25,
     "retryShare":0.2,"retryExtra":54,"stopGraceSeconds":6,"entriesValidSeconds":5,
     "somethingNew":true})";
 
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -178,7 +178,8 @@
     FakeTransport transport;
     UpstreamChoice choice{"z0", 7};
     CallCounts counts;
-    Gateway gateway{{timers, transport, choice, counts}, views};
+    Stats stats;
+    Gateway gateway{{timers, transport, choice, counts}, views, stats};
     std::vector<RoutedAnswer> answers;
 };
 
--- a/tools/geraniumcartd.cpp
+++ b/tools/geraniumcartd.cpp
@@ -44,6 +44,7 @@
         return isHelp ? EXIT_SUCCESS : ExitUsage;
     }
     configureLogging(parseLogLevel(settings->logLevel).value_or(LogLevel::Info));
+    const StandardOutputLog log;
 
     // Before the daemon starts threads, so that a signal always finds its handler.
     boost::asio::io_context context;
--- a/tools/operator_cli.cpp
+++ b/tools/operator_cli.cpp
@@ -1,5 +1,7 @@
 #include "operator_cli.h"
 
+#include "explain.h"
+
 #include "http_call.h"
 #include "operator_tables.h"
 
@@ -30,7 +32,7 @@
 const char *const HelpText =
         R"(geraniumcart: checks and applies the rules file and shows what became of each rule.
 
-Usage: geraniumcart [--store IP:PORT] [--daemon IP:PORT] COMMAND [FILE]
+Usage: geraniumcart [--store IP:PORT] [--daemon IP:PORT] COMMAND [FILE...]
 
   check FILE     parse the file; errors name file, line and column
   diff FILE      show how the file differs from the rules in force
@@ -39,13 +41,15 @@
   status         show each rule and its state; --watch repeats, --json prints JSON
   entries        show the addresses that callers use
   limits         show the limits that a daemon enforces
+  explain ID [FILE...]
+                 print the life of one request from log files, or from standard input
   --help         print this text
 
 --store (GERANIUMCART_STORE) is the object store, --daemon (GERANIUMCART_DAEMON) any entry daemon.
 FILE.version holds the version that was last fetched or applied, and its store; apply is refused
 when another version is in force.
 
-Exit codes: 0 done; 1 rules refused or edit conflict; 2 usage; 3 store or daemon does not answer;
+Exit codes: 0 done; 1 rules refused, edit conflict or request not found; 2 usage; 3 store or daemon does not answer;
 4 it is not known whether the rules were accepted.
 )";
 
@@ -53,6 +57,8 @@
 {
     std::string command;
     std::string file;
+    /// All words after the command.
+    std::vector<std::string> words;
     std::string store;
     std::string daemon;
     bool isJson = false;
@@ -129,12 +135,14 @@
         const auto parsed = parser.parse(argc, argv);
         const auto words = parsed.count("words") ? parsed["words"].as<std::vector<std::string>>()
                                                  : std::vector<std::string>();
-        if (words.size() > 2) {
+        const bool isExplain = !words.empty() && words[0] == "explain";
+        if (words.size() > 2 && !isExplain) {
             reason = "too many words after the command: " + words[2];
             return std::nullopt;
         }
         options.command = parsed.count("help") ? "help" : words.empty() ? "" : words[0];
         options.file = words.size() > 1 ? words[1] : "";
+        options.words = words;
         options.store = parsed.count("store") ? parsed["store"].as<std::string>()
                                               : fromEnvironment("GERANIUMCART_STORE");
         options.daemon = parsed.count("daemon") ? parsed["daemon"].as<std::string>()
@@ -350,6 +358,29 @@
     }
 }
 
+int explain(const CliOptions &options)
+{
+    if (options.words.size() < 2)
+        return usageError("explain needs the id of a request");
+    std::vector<LogLine> lines;
+    if (options.words.size() == 2)
+        lines = readLogLines(std::cin);
+    for (std::size_t i = 2; i < options.words.size(); ++i) {
+        std::ifstream file(options.words[i]);
+        if (!file)
+            return usageError("cannot read " + options.words[i]);
+        for (LogLine &line : readLogLines(file))
+            lines.push_back(std::move(line));
+    }
+    // Several files hold the same time; within a file the order is that of writing.
+    std::stable_sort(lines.begin(), lines.end(),
+                     [](const LogLine &a, const LogLine &b) { return a.timestamp < b.timestamp; });
+    if (explainRequest(options.words[1], lines, std::cout))
+        return ExitOk;
+    std::cerr << "geraniumcart: no line names request " << options.words[1] << '\n';
+    return ExitRefused;
+}
+
 int runWithFile(const CliOptions &options)
 {
     if (options.file.empty())
@@ -381,6 +412,8 @@
     }
     if (command == "check" || command == "apply" || command == "diff" || command == "fetch")
         return runWithFile(*options);
+    if (command == "explain")
+        return explain(*options);
     if (command != "status" && command != "entries" && command != "limits")
         return usageError(command.empty() ? "no command" : "unknown command '" + command + "'");
     if (!isAddress(options->daemon))
