Pass on what another watcher told, and shed load that cannot be served in time

Ruled out: the grace of 1.8 s for vanished entries, which other daemons kept to.

Change: watchers pass on every change, wherever it came from. A gateway predicts the wait for an answer from latency, work under way and silence of its searchers, and refuses at once the part of the requests that would be late, with a Retry-After that spreads them; a fifth is always let in.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -74,7 +74,7 @@
     std::uint64_t digest() const { return m_digest; }
 
 private:
-    void offer(StoredObject object, bool isNews);
+    void offer(StoredObject object);
     void tick();
     void setWatching(bool isWatching);
     void askPeers();
@@ -94,7 +94,7 @@
     /// Peer addresses of all members that answer.
     std::vector<std::string> m_peers;
     std::size_t m_nextAsked = 0;
-    /// Changes from the store that followers were not told of yet.
+    /// Changes that followers were not told of yet.
     std::map<std::string, StoredObject> m_news;
     std::uint64_t m_digest = 0;
     bool m_isWatching = false;
--- a/include/geraniumcart/gateway.h
+++ b/include/geraniumcart/gateway.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -138,6 +139,7 @@
     const ServingViewPublisher &m_views;
     Stats &m_stats;
     TraceLogPolicy m_traceLog;
+    std::mt19937_64 m_random{std::random_device{}()};
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, Call> m_open;
     std::map<std::string, SplitState> m_splits;
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -19,6 +19,13 @@
 /// all daemons stays under what the searcher bears. Zero sets no bound.
 Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders);
 
+/// Smallest known latency of @p candidates; an assumed one where none is known.
+Duration lowestLatency(std::span<const std::shared_ptr<Upstream>> candidates);
+
+/// Time until a further request to @p upstream is answered, as this daemon sees it.
+/// @param base latency towards which an old bad impression fades
+Duration expectedWait(const Upstream &upstream, Duration base, TimePoint now);
+
 /// Picks the searcher that is expected to answer first. Answers the load that other daemons cause
 /// and pauses of a searcher by what this daemon sees: latency, work under way, silence.
 class UpstreamChoice
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "process/log_p.h"
 
+#include <geraniumcart/load_shedding.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -89,11 +91,28 @@
             std::min<Duration>(route->timeout, request.callerWaits.value_or(route->timeout));
     const std::uint64_t id = ++m_lastId;
     const auto onDone = [this, id](RoutedAnswer answer) { finish(id, std::move(answer)); };
+    if (!route->isScattered())
+        spec.service = pickTarget(*route);
+    const Duration predicted = predictedWait(*route, spec.service, *view, m_calls.timers.now());
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (chance(m_random) >= admittedShare(predicted, route->latencyObjective)) {
+        refusal.status = RoutedStatus::Refused;
+        // Spread, so that callers that were refused together do not come back together.
+        refusal.retryAfter =
+                std::chrono::duration_cast<Duration>(predicted * (0.5 + chance(m_random)));
+        m_stats.add(Counter::Overloaded);
+        logEvent(LogLevel::Info, "requestShed",
+                 {{"id", request.forward->id},
+                  {"route", route->name},
+                  {"predictedWait", predicted},
+                  {"objective", route->latencyObjective}});
+        done(std::move(refusal));
+        return 0;
+    }
     std::shared_ptr<RoutedRun> run;
     if (route->isScattered()) {
         run = makeScatterRun(std::move(spec), onDone);
     } else {
-        spec.service = pickTarget(*route);
         if (!view->find(spec.service)) {
             refusal.status = RoutedStatus::Refused;
             refusal.retryAfter = NotReadyRetryAfter;
--- /dev/null
+++ b/src/request/load_shedding.cpp
@@ -0,0 +1,53 @@
+#include <geraniumcart/load_shedding.h>
+
+#include <geraniumcart/upstream_choice.h>
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Smallest part that is let in.
+constexpr double LeastShare = 0.2;
+
+Duration bestWait(const ServiceUpstreams &service, TimePoint now)
+{
+    Duration best = Duration::max();
+    const Duration base = lowestLatency(service.upstreams);
+    for (const auto &upstream : service.upstreams)
+        best = std::min(best, expectedWait(*upstream, base, now));
+    return best == Duration::max() ? Duration::zero() : best;
+}
+
+} // namespace
+
+Duration predictedWait(const Route &route, const std::string &service, const ServingView &view,
+                       TimePoint now)
+{
+    if (!route.isScattered()) {
+        const ServiceUpstreams *found = view.find(service);
+        return found ? bestWait(*found, now) : Duration::zero();
+    }
+    std::vector<Duration> waits;
+    for (const std::string &shard : route.shards)
+        if (const ServiceUpstreams *found = view.find(shard); found && !found->upstreams.empty())
+            waits.push_back(bestWait(*found, now));
+    const std::uint32_t needed = route.minShards();
+    if (waits.size() < needed)
+        return Duration::zero();
+    std::nth_element(waits.begin(), waits.begin() + (needed - 1), waits.end());
+    return waits[needed - 1];
+}
+
+double admittedShare(Duration predicted, Duration latencyObjective)
+{
+    if (predicted <= latencyObjective)
+        return 1;
+    return std::max(LeastShare, std::chrono::duration<double>(latencyObjective) /
+                                        std::chrono::duration<double>(predicted));
+}
+
+} // namespace geraniumcart
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -31,32 +31,32 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration bestLatency(std::span<const std::shared_ptr<Upstream>> candidates)
+} // namespace
+
+Duration lowestLatency(std::span<const std::shared_ptr<Upstream>> candidates)
 {
-    Duration best = Duration::max();
+    Duration lowest = Duration::max();
     for (const auto &candidate : candidates)
         if (candidate->latency() > Duration::zero())
-            best = std::min(best, candidate->latency());
-    return best == Duration::max() ? UnknownLatency : best;
+            lowest = std::min(lowest, candidate->latency());
+    return lowest == Duration::max() ? UnknownLatency : lowest;
 }
 
-/// Seconds until a further request to @p upstream is answered.
-double expectedWait(const Upstream &upstream, double best, TimePoint now)
+Duration expectedWait(const Upstream &upstream, Duration base, TimePoint now)
 {
-    double latency = best;
+    double latency = seconds(base);
     if (upstream.latency() > Duration::zero()) {
         const double age = seconds(upstream.latencyAge(now));
-        latency += (seconds(upstream.latency()) - best) *
+        latency += (seconds(upstream.latency()) - latency) *
                    std::exp2(-std::max(age, 0.0) / ImpressionHalfLifeSeconds);
     }
     latency = std::max(latency, seconds(upstream.silence(now)));
     if (upstream.isCold(now))
         latency *= ColdFactor;
-    return latency * (1 + upstream.inFlight());
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(latency * (1 + upstream.inFlight())));
 }
 
-} // namespace
-
 std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t listed)
 {
     const std::uint32_t share = profile.maxConnections / (listed + JoiningDaemons);
@@ -75,7 +75,7 @@
 UpstreamChoice::choose(std::span<const std::shared_ptr<Upstream>> candidates, TimePoint now,
                        const std::function<bool(const Upstream &)> &isUsable)
 {
-    const double best = seconds(bestLatency(candidates));
+    const Duration base = lowestLatency(candidates);
     std::uniform_real_distribution<double> spread(1, 1 + ChoiceSpread);
     std::shared_ptr<Upstream> chosen;
     bool isChosenSuspect = false;
@@ -84,7 +84,7 @@
         if (!isUsable(*candidate))
             continue;
         const bool isSuspect = now < candidate->suspectUntil();
-        double cost = expectedWait(*candidate, best, now) * spread(m_random);
+        double cost = seconds(expectedWait(*candidate, base, now)) * spread(m_random);
         if (candidate->zone() != m_zone)
             cost += seconds(OtherZonePenalty);
         const bool isBetter = !chosen || (isChosenSuspect && !isSuspect) ||
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -174,7 +174,7 @@
     m_timers.schedule(BeatInterval, [this] { beat(); });
 }
 
-void FleetRelay::offer(StoredObject object, bool isNews)
+void FleetRelay::offer(StoredObject object)
 {
     const StoredObject *held = m_replica.find(object.key);
     const std::uint64_t before = held ? hashOf(*held) : 0;
@@ -183,7 +183,8 @@
     if (!m_replica.offer(std::move(object)))
         return;
     m_digest ^= before ^ after;
-    if (!isNews)
+    // Also what another watcher told: its followers and this daemon's are not the same.
+    if (m_followers.empty())
         return;
     if (m_news.empty())
         m_timers.schedule(Duration::zero(), [this] { flushNews(); });
@@ -198,7 +199,7 @@
     // A deletion may carry the revision of the object's last change.
     if (object.value.empty())
         object.version = std::max(object.version, held->version + 1);
-    offer(std::move(object), true);
+    offer(std::move(object));
 }
 
 void FleetRelay::onFactList(const std::string &prefix, const std::set<std::string> &keys,
@@ -210,7 +211,7 @@
             continue;
         object.version = revision;
         object.value.clear();
-        offer(std::move(object), true);
+        offer(std::move(object));
     }
 }
 
@@ -267,7 +268,7 @@
 void FleetRelay::onPush(const PeerObjectPush &push)
 {
     for (const StoredObject &object : push.objects)
-        offer(object, false);
+        offer(object);
 }
 
 } // namespace geraniumcart
