Stop the losers of hedges while a queue stands, and let fewer in near the objective

Cause: at twice the usual load every answer was late: what was let in filled the searchers' queues, and losers of hedges worked on.

Change: the share let in falls with the square of 0.7 of the objective over the predicted wait; the loser of a hedge is cut off while even the best searcher of the service takes over 30 ms.

A test plays 1.5, 2 and 4 times the capacity against four searchers: at least 90% of the answers in time at capacity.

--- a/src/request/load_shedding.cpp
+++ b/src/request/load_shedding.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Smallest part that is let in.
-constexpr double LeastShare = 0.2;
+constexpr double LeastShare = 0.1;
 
 Duration bestWait(const ServiceUpstreams &service, TimePoint now)
 {
@@ -44,10 +44,9 @@
 
 double admittedShare(Duration predicted, Duration latencyObjective)
 {
-    if (predicted <= latencyObjective)
-        return 1;
-    return std::max(LeastShare, std::chrono::duration<double>(latencyObjective) /
-                                        std::chrono::duration<double>(predicted));
+    const double ratio = 0.7 * std::chrono::duration<double>(latencyObjective) /
+                         std::chrono::duration<double>(predicted);
+    return std::clamp(ratio * ratio, LeastShare, 1.0);
 }
 
 } // namespace geraniumcart
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -12,6 +12,11 @@
 /// Sends beyond the route's attempts that searchers may refuse without running the request.
 constexpr std::uint32_t ExtraSendsAfterRefusal = 2;
 
+/// The loser of a hedge is stopped while even the best searcher of the service takes longer than
+/// this, which shows a queue: the slot that it would take later is worth more than the setup of a
+/// new connection, which holds one for up to 6 ms.
+constexpr std::chrono::milliseconds CancelAbove{30};
+
 TraceStep stepOf(ExchangeFailure failure)
 {
     switch (failure) {
@@ -265,8 +270,11 @@
         attempt.upstream->noteAnswer(now, now - attempt.sentAt);
         if (m_spec.hedging)
             m_spec.hedging->observe(now - attempt.sentAt);
-        if (isOpen())
+        if (isOpen()) {
             finish({std::move(reply), CallFailure::Unknown, false});
+            if (lowestLatency(m_spec.service->upstreams) > CancelAbove)
+                cancelExchanges();
+        }
         return;
     }
     note(TraceStep::FailureReply, attempt.upstream.get());
--- /dev/null
+++ b/tests/load_shedding_test.cpp
@@ -0,0 +1,193 @@
+#include "support/fake_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <geraniumcart/load_shedding.h>
+
+#include <deque>
+#include <random>
+
+using namespace geraniumcart;
+using namespace geraniumcart::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("the share that is let in follows the predicted wait")
+{
+    const auto [failure, predicted, lowest, highest] =
+            GENERATE(table<const char *, Duration, double, double>({
+                    {"an idle fleet refuses", 0ms, 1, 1},
+                    {"a wait well below the objective refuses", 60ms, 1, 1},
+                    {"a wait at the objective lets all in", 100ms, 0.3, 0.7},
+                    {"a wait of twice the objective lets half in", 200ms, 0.1, 0.3},
+                    {"a long wait lets nobody in, so that nothing shows its end", 10s, 0.05, 0.2},
+            }));
+    INFO(failure);
+    CHECK(admittedShare(predicted, 100ms) >= lowest);
+    CHECK(admittedShare(predicted, 100ms) <= highest);
+}
+
+TEST_CASE("the wait is that of the slowest shard that an answer needs")
+{
+    const auto [failure, minShare, slow, isLong] = GENERATE(table<const char *, double, int, bool>({
+            {"one slow shard of ten that may be missing counts", 0.9, 1, false},
+            {"two slow shards of which one may be missing do not count", 0.9, 2, true},
+            {"a slow shard that is needed does not count", 1.0, 1, true},
+    }));
+    INFO(failure);
+    GatewayCell cell({scatterRoute(10, minShare)});
+    for (int i = 0; i < 10; ++i)
+        cell.add(searcher("shard" + std::to_string(i), "s" + std::to_string(i)));
+    const auto view = cell.views.pin();
+    const TimePoint now = cell.timers.now();
+    for (int i = 0; i < 10; ++i) {
+        Upstream &upstream = *view->find("shard" + std::to_string(i))->upstreams[0];
+        upstream.noteSent(now);
+        upstream.noteAnswer(now, i < slow ? 900ms : 10ms);
+    }
+    CHECK((predictedWait(cell.routeTable.routes[0], {}, *view, now) > 500ms) == isLong);
+}
+
+namespace {
+
+/// Searchers with slots and a queue, as a load model behind the gateway's transport.
+class QueueingTransport final : public UpstreamTransport
+{
+public:
+    static constexpr std::size_t Slots = 2;
+    static constexpr std::size_t Queue = 12;
+
+    QueueingTransport(ManualTimerService &timers, Duration work)
+        : m_timers(timers)
+        , m_work(work)
+    {
+    }
+    bool hasRoom(const Upstream &, std::uint32_t) const override { return true; }
+    ExchangeId send(const std::shared_ptr<Upstream> &upstream,
+                    std::shared_ptr<const ForwardRequest>, TimePoint deadline,
+                    std::shared_ptr<ExchangeListener> listener) override
+    {
+        const ExchangeId id = ++m_lastId;
+        Searcher &searcher = m_searchers[upstream.get()];
+        if (searcher.queue.size() >= Queue) {
+            m_timers.schedule(1ms, [id, listener] { listener->onReply(id, notRunReply()); });
+            return id;
+        }
+        searcher.queue.push_back({id, deadline, std::move(listener)});
+        begin(searcher);
+        return id;
+    }
+    void cancel(ExchangeId id) override
+    {
+        for (auto &[upstream, searcher] : m_searchers)
+            std::erase_if(searcher.queue, [id](const Job &job) { return job.id == id; });
+    }
+    void warmUp(const std::shared_ptr<Upstream> &) override {}
+
+private:
+    struct Job
+    {
+        ExchangeId id = 0;
+        TimePoint deadline{};
+        std::shared_ptr<ExchangeListener> listener;
+    };
+    struct Searcher
+    {
+        std::deque<Job> queue;
+        std::size_t running = 0;
+    };
+
+    void begin(Searcher &searcher)
+    {
+        while (searcher.running < Slots && !searcher.queue.empty()) {
+            Job job = std::move(searcher.queue.front());
+            searcher.queue.pop_front();
+            ++searcher.running;
+            std::lognormal_distribution<double> spread(0, 0.35);
+            const auto work = std::chrono::duration_cast<Duration>(m_work * spread(m_random));
+            m_timers.schedule(work, [this, &searcher, job = std::move(job)] {
+                --searcher.running;
+                job.listener->onReply(job.id, goodReply());
+                begin(searcher);
+            });
+        }
+    }
+
+    ManualTimerService &m_timers;
+    const Duration m_work;
+    std::mt19937_64 m_random{5};
+    std::map<const Upstream *, Searcher> m_searchers;
+    ExchangeId m_lastId = 0;
+};
+
+struct Served
+{
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    Duration slowestRefusal{};
+};
+
+/// Plays an open-loop load of single requests against four searchers.
+Served play(double loadOfCapacity)
+{
+    constexpr Duration Work = 20ms;
+    constexpr int Searchers = 4;
+    const double capacity =
+            Searchers * QueueingTransport::Slots / std::chrono::duration<double>(Work).count();
+    Route route = plainRoute();
+    route.timeout = 1500ms;
+    route.latencyObjective = 150ms;
+    GatewayCell cell({route}, {0.2, 50});
+    for (int i = 0; i < Searchers; ++i)
+        cell.add(searcher("desk", "s" + std::to_string(i)));
+    QueueingTransport transport(cell.timers, Work);
+    Gateway gateway({cell.timers, transport, cell.choice, cell.counts}, cell.views, cell.stats);
+    std::mt19937_64 random(11);
+    std::exponential_distribution<double> gap(capacity * loadOfCapacity);
+    Served served;
+    for (double second = 0; second < 10;) {
+        const double wait = gap(random);
+        second += wait;
+        cell.timers.advance(
+                std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)));
+        auto forward = std::make_shared<ForwardRequest>();
+        forward->target = "/plain/1";
+        const TimePoint arrival = cell.timers.now();
+        gateway.handle({"shop.example", forward, arrival, std::nullopt},
+                       [&, arrival](const RoutedAnswer &answer) {
+                           const Duration took = cell.timers.now() - arrival;
+                           if (answer.status == RoutedStatus::Refused) {
+                               ++served.refused;
+                               served.slowestRefusal = std::max(served.slowestRefusal, took);
+                           } else if (took <= 150ms) {
+                               ++served.inTime;
+                           } else {
+                               ++served.late;
+                           }
+                       });
+    }
+    cell.timers.advance(3s);
+    return served;
+}
+
+} // namespace
+
+// Guards against overload in which everyone is served late. The bound is the stated target: at
+// twice the capacity at least 90% of the answers in time that a load at capacity gets.
+TEST_CASE("callers beyond the capacity cost the others nothing")
+{
+    const auto [failure, load] = GENERATE(table<const char *, double>({
+            {"a load of 1.5 times the capacity makes answers late", 1.5},
+            {"a load of twice the capacity makes answers late", 2},
+            {"a load of four times the capacity makes answers late", 4},
+    }));
+    INFO(failure);
+    const Served atCapacity = play(1);
+    const Served beyond = play(load);
+    INFO("at capacity " << atCapacity.inTime << " in time, " << atCapacity.late << " late, "
+                        << atCapacity.refused << " refused; beyond " << beyond.inTime
+                        << " in time, " << beyond.late << " late, " << beyond.refused
+                        << " refused");
+    CHECK(beyond.inTime * 10 >= atCapacity.inTime * 9);
+    CHECK(beyond.refused > 0);
+}
