Split the gateway's entry into short steps and bound the log of refusals

Cause: one function decided, refused and started, and each refusal for load wrote a line whatever the load.

Change: handle(), start() and refuse(); refusals share the rate of the request log. geraniumcart-load refuses an option in place of a service's name.

--- a/include/geraniumcart/gateway.h
+++ b/include/geraniumcart/gateway.h
@@ -128,6 +128,13 @@
         std::shared_ptr<RequestTrace> trace;
     };
 
+    /// Passes on a call whose route is known.
+    std::uint64_t start(Call call, const std::string &service);
+    /// Answers a call of which nothing was sent.
+    /// @param predicted wait for which it was refused; zero where it was refused for another reason
+    /// @return 0, which names no call
+    std::uint64_t refuse(const Call &call, RoutedStatus status, Duration retryAfter,
+                         Duration predicted = {});
     const std::string &pickTarget(const Route &route);
     void finish(std::uint64_t id, RoutedAnswer answer);
     void logRequest(const Call &call, const RoutedAnswer &answer, Duration took);
--- a/src/connection/upstream_connections.cpp
+++ b/src/connection/upstream_connections.cpp
@@ -220,7 +220,6 @@
 
 void UpstreamConnections::onLinkLost(UpstreamLink &link, ExchangeFailure failure)
 {
-    ++m_counts.lost;
     if (Line *line = lineOf(link))
         drop(*line, line->isOpen ? failure : ExchangeFailure::NotSent);
 }
--- a/src/connection/upstream_connections_p.h
+++ b/src/connection/upstream_connections_p.h
@@ -18,7 +18,6 @@
 struct LinkCounts
 {
     std::uint64_t opened = 0;
-    std::uint64_t lost = 0;
     std::uint64_t timedOut = 0;
 };
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -13,6 +13,8 @@
 
 /// How long a caller waits for a daemon that knows no configuration yet.
 constexpr std::chrono::milliseconds NotReadyRetryAfter{250};
+/// A caller that was refused for load comes back after 0.5 to 1.5 times the predicted wait.
+constexpr double LeastRetrySpread = 0.5;
 
 } // namespace
 
@@ -63,78 +65,86 @@
 
 std::uint64_t Gateway::handle(RoutedRequest request, Callback done)
 {
-    ServingViewPin view = m_views.pin();
-    RoutedAnswer refusal;
-    refusal.shouldClose = view->isLeaving;
-    if (!view->routes) {
-        refusal.status = RoutedStatus::NotReady;
-        refusal.retryAfter = NotReadyRetryAfter;
-        m_stats.add(counterOf(refusal));
-        done(std::move(refusal));
-        return 0;
-    }
-    const std::string_view target = request.forward->target;
-    const Route *route = view->routes->match(request.host, target.substr(0, target.find('?')));
-    if (!route) {
-        refusal.status = RoutedStatus::NoRoute;
-        m_stats.add(counterOf(refusal));
-        logEvent(LogLevel::Debug, "noRoute",
-                 {{"id", request.forward->id}, {"configuration", view->routes->version}});
-        done(std::move(refusal));
-        return 0;
-    }
-    RoutedRunSpec spec{m_calls, view, route, {}, request.forward, request.arrival, {}, {}};
-    const auto trace = std::make_shared<RequestTrace>(request.arrival);
-    spec.trace = trace;
-    spec.deadline =
-            request.arrival +
-            std::min<Duration>(route->timeout, request.callerWaits.value_or(route->timeout));
-    const std::uint64_t id = ++m_lastId;
-    const auto onDone = [this, id](RoutedAnswer answer) { finish(id, std::move(answer)); };
-    if (!route->isScattered())
-        spec.service = pickTarget(*route);
-    const Duration predicted = predictedWait(*route, spec.service, *view, m_calls.timers.now());
+    Call call;
+    call.view = m_views.pin();
+    call.request = std::move(request);
+    call.done = std::move(done);
+    if (!call.view->routes)
+        return refuse(call, RoutedStatus::NotReady, NotReadyRetryAfter);
+    const std::string_view target = call.request.forward->target;
+    call.route = call.view->routes->match(call.request.host, target.substr(0, target.find('?')));
+    if (!call.route)
+        return refuse(call, RoutedStatus::NoRoute, {});
+
+    const std::string service = call.route->isScattered() ? std::string() : pickTarget(*call.route);
+    if (!call.route->isScattered() && !call.view->find(service))
+        return refuse(call, RoutedStatus::Refused, NotReadyRetryAfter);
+    const Duration predicted =
+            predictedWait(*call.route, service, *call.view, m_calls.timers.now());
     std::uniform_real_distribution<double> chance(0, 1);
-    if (chance(m_random) >= admittedShare(predicted, route->latencyObjective)) {
-        refusal.status = RoutedStatus::Refused;
-        // Spread, so that callers that were refused together do not come back together.
-        refusal.retryAfter =
-                std::chrono::duration_cast<Duration>(predicted * (0.5 + chance(m_random)));
+    if (chance(m_random) >= admittedShare(predicted, call.route->latencyObjective)) {
         m_stats.add(Counter::Overloaded);
-        logEvent(LogLevel::Info, "requestShed",
-                 {{"id", request.forward->id},
-                  {"route", route->name},
-                  {"predictedWait", predicted},
-                  {"objective", route->latencyObjective}});
-        done(std::move(refusal));
-        return 0;
-    }
-    std::shared_ptr<RoutedRun> run;
-    if (route->isScattered()) {
-        run = makeScatterRun(std::move(spec), onDone);
-    } else {
-        if (!view->find(spec.service)) {
-            refusal.status = RoutedStatus::Refused;
-            refusal.retryAfter = NotReadyRetryAfter;
-            m_stats.add(counterOf(refusal));
-            logEvent(LogLevel::Warn, "serviceUnknown",
-                     {{"id", request.forward->id}, {"service", spec.service}});
-            done(std::move(refusal));
-            return 0;
-        }
-        run = makeForwardRun(std::move(spec), onDone);
+        // Spread, so that callers that were refused together do not come back together.
+        const double spread = LeastRetrySpread + chance(m_random);
+        return refuse(call, RoutedStatus::Refused,
+                      std::chrono::duration_cast<Duration>(predicted * spread), predicted);
     }
-    m_open[id] = {run, std::move(done), std::move(request), view, route, trace};
+    return start(std::move(call), service);
+}
+
+std::uint64_t Gateway::start(Call call, const std::string &service)
+{
+    const Route &route = *call.route;
+    const std::uint64_t id = ++m_lastId;
+    call.trace = std::make_shared<RequestTrace>(call.request.arrival);
+    const Duration waits =
+            std::min<Duration>(route.timeout, call.request.callerWaits.value_or(route.timeout));
+    RoutedRunSpec spec{m_calls,
+                       call.view,
+                       &route,
+                       service,
+                       call.request.forward,
+                       call.request.arrival,
+                       call.request.arrival + waits,
+                       call.trace};
+    const auto onDone = [this, id](RoutedAnswer answer) { finish(id, std::move(answer)); };
+    call.run = route.isScattered() ? makeScatterRun(std::move(spec), onDone)
+                                   : makeForwardRun(std::move(spec), onDone);
+    const std::shared_ptr<RoutedRun> run = call.run;
+    m_open[id] = std::move(call);
     m_running.fetch_add(1, std::memory_order_acq_rel);
     run->start();
     return id;
 }
 
+std::uint64_t Gateway::refuse(const Call &call, RoutedStatus status, Duration retryAfter,
+                              Duration predicted)
+{
+    RoutedAnswer answer;
+    answer.status = status;
+    answer.retryAfter = retryAfter;
+    answer.shouldClose = call.view->isLeaving;
+    m_stats.add(counterOf(answer));
+    if (m_traceLog.shouldLog(m_calls.timers.now(), false))
+        logEvent(LogLevel::Info, "requestRefused",
+                 {{"id", call.request.forward->id},
+                  {"outcome", toString(status)},
+                  {"route", call.route ? call.route->name : std::string()},
+                  {"configuration", call.view->routes ? call.view->routes->version : 0},
+                  {"predictedWait", predicted},
+                  {"objective", call.route ? call.route->latencyObjective : Duration::zero()},
+                  {"retryAfter", retryAfter},
+                  {"requestsNotLogged", m_traceLog.takeSuppressed()}});
+    call.done(std::move(answer));
+    return 0;
+}
+
 const std::string &Gateway::pickTarget(const Route &route)
 {
     if (route.targets.size() == 1)
         return route.targets.front().service;
-    // Each part collects its weight; the fullest is picked and pays for all.
+    // Smooth weighted round robin: each target gains its weight, and the one with the largest sum
+    // is picked and loses the total.
     SplitState &state = m_splits[route.name];
     double total = 0;
     const RouteTarget *picked = nullptr;
--- a/tests/load_report_test.cpp
+++ b/tests/load_report_test.cpp
@@ -250,3 +250,18 @@
     CHECK_FALSE(parseLoadOptions(7, arguments, reason));
     CHECK_THAT(reason, Catch::Matchers::Contains(message));
 }
+
+// Guards against an option that is taken for the value of the one before it.
+TEST_CASE("the load tool refuses an option in place of a service's name")
+{
+    const auto [failure, service, isAccepted] = GENERATE(table<const char *, const char *, bool>({
+            {"a service is refused", "lend-front", true},
+            {"an option is taken as a service", "--rate", false},
+            {"no service is accepted", "", false},
+    }));
+    INFO(failure);
+    const char *const arguments[] = {"geraniumcart-load", "--entries", "127.0.0.1:1", "--service",
+                                     service};
+    std::string reason;
+    CHECK(parseLoadOptions(5, arguments, reason).has_value() == isAccepted);
+}
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -28,6 +28,8 @@
                 return "not an IP:PORT address: " + address;
     if (options.service.empty())
         return "--service is missing";
+    if (options.service.starts_with('-'))
+        return "--service: expected the name of a service, got '" + options.service + "'";
     if (!(options.arrivals.ratePerSecond > 0))
         return "--rate: expected more than 0";
     if (!(options.arrivals.bookings >= 0 && options.arrivals.bookings <= 1))
