--- /dev/null
+++ b/tests/support/platform_standins.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "raw_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace geraniumcart::test {
+
+/// Stand-in for the platform's store: objects by kind with one revision counter, lists and watches.
+/// It may refuse, go silent or lose its history. Belongs to the test's io_context.
+class PlatformStore
+{
+public:
+    enum class Mode { Serving, Busy, Silent };
+
+    explicit PlatformStore(boost::asio::io_context &context)
+        : m_server(context, [this](const std::string &head) { return answer(head); })
+    {
+    }
+
+    std::string address() const { return m_server.address(); }
+    void put(const std::string &kind, const std::string &name, boost::json::object spec)
+    {
+        m_objects[kind][name] = {++m_revision, false, std::move(spec)};
+    }
+    void remove(const std::string &kind, const std::string &name)
+    {
+        Object &object = m_objects[kind][name];
+        object.isDeleted = true;
+        object.revision = ++m_revision;
+    }
+    void loseHistory() { m_firstRevision = ++m_revision; }
+    int calls() const { return static_cast<int>(m_server.heads.size()); }
+
+    Mode mode = Mode::Serving;
+
+private:
+    struct Object
+    {
+        std::uint64_t revision = 0;
+        bool isDeleted = false;
+        boost::json::object spec;
+    };
+
+    static std::string http(int status, const std::string &body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) +
+               " Status\r\nContent-Type: application/json\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    static std::string parameter(const std::string &head, const std::string &name)
+    {
+        const std::size_t at = head.find(name + "=");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t start = at + name.size() + 1;
+        return head.substr(start, head.find_first_of("& ", start) - start);
+    }
+    static boost::json::object encode(const std::string &name, const Object &object)
+    {
+        return {{"meta", {{"name", name}, {"revision", object.revision}}}, {"spec", object.spec}};
+    }
+
+    RawAnswer answer(const std::string &head)
+    {
+        if (mode == Mode::Silent)
+            return {""};
+        if (mode == Mode::Busy)
+            return {http(503, "{}")};
+        const std::size_t start = head.find("/objects/") + 9;
+        const std::string kind = head.substr(start, head.find_first_of("? ", start) - start);
+        const std::string since = parameter(head, "watch");
+        boost::json::object body{{"current_rev", m_revision}};
+        if (since.empty()) {
+            boost::json::array items;
+            for (const auto &[name, object] : m_objects[kind])
+                if (!object.isDeleted)
+                    items.push_back(encode(name, object));
+            body["items"] = std::move(items);
+            body["has_more"] = false;
+            return {http(200, boost::json::serialize(body))};
+        }
+        const std::uint64_t revision = std::strtoull(since.c_str(), nullptr, 10);
+        if (revision < m_firstRevision)
+            return {http(410, "{}")};
+        boost::json::array events;
+        for (const auto &[name, object] : m_objects[kind])
+            if (object.revision > revision)
+                events.push_back({{"deleted", object.isDeleted}, {"object", encode(name, object)}});
+        const bool hasNews = !events.empty();
+        body["events"] = std::move(events);
+        const std::string whole = http(200, boost::json::serialize(body));
+        if (hasNews)
+            return {whole};
+        // Without news the store answers after a while, as at the end of the wait.
+        return {"", RawAnswer::Then::Keep, whole, std::chrono::milliseconds(100)};
+    }
+
+    std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::uint64_t m_revision = 10;
+    std::uint64_t m_firstRevision = 0;
+    RawServer m_server;
+};
+
+/// Stand-in for a searcher with the platform's headers.
+class PlatformSearcher
+{
+public:
+    enum class Mode { Serving, Full, LosesAnswers, Silent, Garbles, OtherInstance };
+
+    PlatformSearcher(boost::asio::io_context &context, std::string id, std::string body)
+        : instanceId(std::move(id))
+        , m_body(std::move(body))
+        , m_server(context, [this](const std::string &head) { return answer(head); })
+    {
+    }
+
+    boost::json::object entry(const std::string &service, const std::string &state = "ready") const
+    {
+        return {{"service", service},  {"address", m_server.address()},
+                {"zone", "z"},         {"config_version", "v1"},
+                {"slots", 2},          {"state", state},
+                {"warmup_left_ms", 0}, {"sequence_number", 1}};
+    }
+    /// Heads of the requests that it got.
+    const std::vector<std::string> &heads() const { return m_server.heads; }
+
+    const std::string instanceId;
+    Mode mode = Mode::Serving;
+
+private:
+    RawAnswer answer(const std::string &head) const
+    {
+        const std::string id = headerValue(head, "Request-Id");
+        const std::string whole =
+                "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: stamp-" + instanceId +
+                "\r\nServer-Load: 1,0,2\r\nContent-Length: " + std::to_string(m_body.size()) +
+                "\r\n\r\n" + m_body;
+        switch (mode) {
+        case Mode::Serving:
+            return {whole};
+        case Mode::Full:
+            return {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        case Mode::LosesAnswers:
+            return {"", RawAnswer::Then::Reset};
+        case Mode::Silent:
+            return {""};
+        case Mode::Garbles:
+            return {whole.substr(0, whole.size() - 3), RawAnswer::Then::Close};
+        case Mode::OtherInstance:
+            return {"HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n"};
+        }
+        return {};
+    }
+
+    std::string m_body;
+    RawServer m_server;
+};
+
+} // namespace geraniumcart::test
