--- /dev/null
+++ b/tests/soak/fault_proxy.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace geraniumcart::soak {
+
+/// A loopback proxy that delays, resets, cuts or silences connections. New connections work again
+/// as soon as the fault is lifted; a silenced one stays silent for good.
+class FaultProxy
+{
+public:
+    using Tcp = boost::asio::ip::tcp;
+
+    FaultProxy(boost::asio::io_context &context, Tcp::endpoint target)
+        : m_context(context)
+        , m_target(std::move(target))
+        , m_acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    /// Holds every piece back for this long.
+    std::chrono::milliseconds delay{0};
+    /// Drops what comes back from the target; the other way still works.
+    bool isCutOneWay = false;
+
+    void silenceOpen()
+    {
+        for (const auto &weak : m_pairs)
+            if (const auto pair = weak.lock())
+                pair->isSilent = true;
+    }
+    void resetOpen()
+    {
+        for (const auto &weak : std::exchange(m_pairs, {}))
+            if (const auto pair = weak.lock())
+                for (Tcp::socket *socket : {&pair->caller, &pair->target}) {
+                    boost::system::error_code ignored;
+                    socket->set_option(Tcp::socket::linger(true, 0), ignored);
+                    socket->close(ignored);
+                }
+    }
+
+private:
+    struct Pair
+    {
+        explicit Pair(boost::asio::io_context &context)
+            : caller(context)
+            , target(context)
+        {
+        }
+        Tcp::socket caller;
+        Tcp::socket target;
+        bool isSilent = false;
+    };
+    using PairPtr = std::shared_ptr<Pair>;
+    using Buffer = std::shared_ptr<std::array<char, 16384>>;
+
+    void accept()
+    {
+        auto pair = std::make_shared<Pair>(m_context);
+        m_acceptor.async_accept(pair->caller, [this, pair](boost::system::error_code error) {
+            if (error)
+                return;
+            std::erase_if(m_pairs, [](const auto &weak) { return weak.expired(); });
+            m_pairs.push_back(pair);
+            pair->target.async_connect(m_target, [this, pair](boost::system::error_code failed) {
+                if (failed) {
+                    close(pair);
+                    return;
+                }
+                pump(pair, pair->caller, pair->target, false);
+                pump(pair, pair->target, pair->caller, true);
+            });
+            accept();
+        });
+    }
+
+    void pump(const PairPtr &pair, Tcp::socket &from, Tcp::socket &to, bool isBack)
+    {
+        auto buffer = std::make_shared<Buffer::element_type>();
+        from.async_read_some(boost::asio::buffer(*buffer), [this, pair, &from, &to, isBack,
+                                                            buffer](boost::system::error_code error,
+                                                                    std::size_t size) {
+            if (error) {
+                if (!pair->isSilent)
+                    close(pair);
+                return;
+            }
+            if (pair->isSilent || (isBack && isCutOneWay)) {
+                pump(pair, from, to, isBack);
+                return;
+            }
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+            timer->async_wait([this, pair, &from, &to, isBack, buffer, size, timer](auto) {
+                boost::asio::async_write(to, boost::asio::buffer(*buffer, size),
+                                         [this, pair, &from, &to, isBack,
+                                          buffer](boost::system::error_code failed, auto) {
+                                             if (failed)
+                                                 close(pair);
+                                             else
+                                                 pump(pair, from, to, isBack);
+                                         });
+            });
+        });
+    }
+
+    static void close(const PairPtr &pair)
+    {
+        boost::system::error_code ignored;
+        pair->caller.close(ignored);
+        pair->target.close(ignored);
+    }
+
+    boost::asio::io_context &m_context;
+    const Tcp::endpoint m_target;
+    Tcp::acceptor m_acceptor;
+    std::vector<std::weak_ptr<Pair>> m_pairs;
+};
+
+} // namespace geraniumcart::soak
