Ignore a deletion that is older than what is held

Cause: after an outage of the store, searchers' entries lapsed and came back. Ruled out: the grace for lapsed entries and lost pushes; a trial that logged versions showed returned entries refused for the version of a deletion.

Change: only a deletion with the very version that is held is raised by one; older ones are ignored. The new test failed before.

--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -196,9 +196,10 @@
     const StoredObject *held = m_replica.find(object.key);
     if (held ? held->value == object.value : object.value.empty())
         return;
-    // A deletion may carry the revision of the object's last change.
-    if (object.value.empty())
-        object.version = std::max(object.version, held->version + 1);
+    // A deletion may carry the revision of the object's last change. One that is older than what is
+    // held comes late: the object has come back since, as another watcher has told.
+    if (object.value.empty() && object.version == held->version)
+        ++object.version;
     offer(std::move(object));
 }
 
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -240,3 +240,21 @@
     CHECK((fleet.nodes["d0"]->applied[key].empty()) == isGone);
     CHECK((relay.digest() == before) != isGone);
 }
+
+// Guards against a watcher that reads old news of the store late: its deletion removed searchers
+// that other watchers had already seen come back (nujum-lend fresh-63c9: every request was
+// refused).
+TEST_CASE("a deletion removes only what is older")
+{
+    const auto [failure, revision, isGone] = GENERATE(table<const char *, std::uint64_t, bool>({
+            {"a late deletion removes what came back", 280, false},
+            {"a deletion with the revision of the last change is ignored", 449, true},
+            {"a new deletion is ignored", 500, true},
+    }));
+    INFO(failure);
+    Fleet fleet(1);
+    FleetRelay &relay = fleet.nodes["d0"]->relay;
+    relay.onPush({{{"servers/a", 449, "back"}}, false});
+    relay.onFact({"servers/a", revision, ""});
+    CHECK(fleet.nodes["d0"]->applied["servers/a"].empty() == isGone);
+}
