List a daemon in its own directory before it counts as ready

Cause: with changes of members applied every 50 ms, readiness came up to 50 ms before the directory named the daemon, and a caller that asked it got no addresses.

--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -335,9 +335,11 @@
 {
     if (m_isStopping)
         return;
-    m_isReady = true;
     logEvent(LogLevel::Info, "ready");
     m_membership->announceAddress(m_settings.callerAddress);
+    // Callers that find this daemon ready may ask its directory at once.
+    applyMembers();
+    m_timers.schedule(Duration::zero(), [this] { m_isReady = !m_isStopping; });
 }
 
 std::string GatewayDaemon::Parts::metricsText() const
