Hold a half-life in std::chrono and close gaps that a reading of the diff showed

Change: the half-life of an impression is a duration; the number of joining daemons stands once; a field that nothing read is gone; a searcher's address that cannot be read is logged. Tests for the loser of a hedge and for the idle time of unlisted daemons, which nothing caused to fail before.

--- a/include/geraniumcart/route_table.h
+++ b/include/geraniumcart/route_table.h
@@ -60,8 +60,6 @@
     std::string name;
     /// Connections that one searcher takes from all callers together.
     std::uint32_t maxConnections = 1;
-    /// Time after a start for which a searcher bears little load.
-    Duration warmUpTime{};
     /// Requests a second that a cold searcher bears from all callers together; 0 sets no bound.
     double warmUpRate = 0;
 };
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -7,6 +7,7 @@
 #include <geraniumcart/upstream.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,10 @@
 
 namespace geraniumcart {
 
+/// Daemons that may join or restart before the others hear of them. What all daemons share is
+/// divided as if they were there already.
+inline constexpr std::uint32_t JoiningDaemons = 3;
+
 /// The searchers of one service that may get new requests.
 struct ServiceUpstreams
 {
--- a/src/connection/upstream_connections.cpp
+++ b/src/connection/upstream_connections.cpp
@@ -1,6 +1,7 @@
 #include "connection/upstream_connections_p.h"
 
 #include "connection/endpoint_p.h"
+#include "process/log_p.h"
 
 #include <algorithm>
 #include <utility>
@@ -95,6 +96,9 @@
     m_lines[upstream.get()].push_back(std::move(owned));
     ++m_counts.opened;
     const auto endpoint = parseEndpoint(upstream->address());
+    if (!endpoint)
+        logEvent(LogLevel::Error, "searcherAddressUnreadable",
+                 {{"instance", upstream->instanceId()}, {"address", upstream->address()}});
     line.timer = m_timers.schedule(endpoint ? Duration(ConnectTimeout) : Duration::zero(),
                                    [this, link = std::weak_ptr(line.link)] {
                                        const auto held = link.lock();
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Daemons that may join before the others hear of them.
-constexpr std::uint32_t JoiningDaemons = 3;
 /// More connections than this to one searcher carry nothing: it has two or three slots.
 constexpr std::uint32_t MostConnections = 4;
 /// Share of a searcher's limits that is planned for; the rest covers daemons that have not learned
@@ -20,7 +18,7 @@
 /// Added for a searcher in another availability zone: one round trip of 2 x 0.5 ms.
 constexpr Duration OtherZonePenalty = std::chrono::milliseconds(1);
 /// Time in which half of a bad impression fades, so that a searcher that recovered is tried again.
-constexpr double ImpressionHalfLifeSeconds = 2;
+constexpr Duration ImpressionHalfLife = std::chrono::seconds(2);
 /// A cold searcher takes about this much longer.
 constexpr double ColdFactor = 1.6;
 /// Spread between daemons, so that they do not all pick the same searcher of two equal ones.
@@ -46,9 +44,8 @@
 {
     double latency = seconds(base);
     if (upstream.latency() > Duration::zero()) {
-        const double age = seconds(upstream.latencyAge(now));
-        latency += (seconds(upstream.latency()) - latency) *
-                   std::exp2(-std::max(age, 0.0) / ImpressionHalfLifeSeconds);
+        const double halfLives = seconds(upstream.latencyAge(now)) / seconds(ImpressionHalfLife);
+        latency += (seconds(upstream.latency()) - latency) * std::exp2(-std::max(halfLives, 0.0));
     }
     latency = std::max(latency, seconds(upstream.silence(now)));
     if (upstream.isCold(now))
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -18,8 +18,6 @@
 /// Share of the allowance that is planned for. The rest covers requests that callers gave up
 /// before they came here and daemons that do not know of each other yet.
 constexpr double PlannedAllowance = 0.85;
-/// Daemons that may join or restart within one window, each with a full reserve.
-constexpr std::uint32_t JoiningDaemons = 3;
 /// Part of the allowance that hedges may ask for; failed requests need the rest.
 constexpr double HedgedPartOfAllowance = 0.75;
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -328,3 +328,27 @@
     const std::vector<std::string_view> views(parts.begin(), parts.end());
     CHECK(mergeGreatestRecords(views, limit) == expected);
 }
+
+// Guards against losers of hedges that fill the queues of a crowded service, and against
+// connections that are thrown away while there is no queue.
+TEST_CASE("the loser of a hedge is stopped only while its service has a queue")
+{
+    const auto [failure, latency, cancelled] = GENERATE(table<const char *, Duration, int>({
+            {"a connection is thrown away without a queue", 10ms, 0},
+            {"a loser works on in a queue", 100ms, 1},
+    }));
+    INFO(failure);
+    GatewayCell cell({plainRoute()});
+    for (const char *id : {"a", "b"})
+        cell.add(searcher("desk", id));
+    for (const auto &upstream : cell.views.pin()->find("desk")->upstreams) {
+        upstream->noteSent(cell.timers.now());
+        upstream->noteAnswer(cell.timers.now(), latency);
+    }
+    cell.request("/plain/1");
+    cell.advance(60ms);
+    REQUIRE(cell.transport.sent.size() == 2);
+    cell.transport.reply(1, goodReply());
+    CHECK(cell.answers.size() == 1);
+    CHECK(cell.transport.cancelled == cancelled);
+}
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -145,9 +145,9 @@
         table.version = 1;
         for (const Route &route : routes) {
             for (const RouteTarget &target : route.targets)
-                table.services[target.service] = {target.service, 26, {}, 0};
+                table.services[target.service] = {target.service, 26, 0};
             for (const std::string &shard : route.shards)
-                table.services[shard] = {shard, 26, {}, 0};
+                table.services[shard] = {shard, 26, 0};
         }
         table.routes = std::move(routes);
         builder.onRoutes(table);
--- a/tests/upstream_connections_test.cpp
+++ b/tests/upstream_connections_test.cpp
@@ -241,3 +241,22 @@
     cell.settle(50ms);
     CHECK(cell.server.connections == 2);
 }
+
+// Guards against idle connections of a daemon that callers are not sent to, which take places that
+// the listed daemons need.
+TEST_CASE("idle connections are closed after the idle time")
+{
+    const auto [failure, idle, connections] = GENERATE(table<const char *, Duration, int>({
+            {"a listed daemon opens a connection for each request", 60s, 1},
+            {"an unlisted daemon keeps its connections", 20ms, 2},
+    }));
+    INFO(failure);
+    Cell cell([](const std::string &head) {
+        return RawAnswer{goodAnswer(headerValue(head, "Call-Id"))};
+    });
+    CHECK(cell.exchange("r1")->reply);
+    cell.connections.setIdleTime(idle);
+    cell.settle(80ms);
+    CHECK(cell.exchange("r2")->reply);
+    CHECK(cell.server.connections == connections);
+}
