--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec_decode.cpp
@@ -13,31 +13,18 @@
 
 namespace {
 
-using Builder = flatbuffers::FlatBufferBuilder;
 template <typename T>
 using Offset = flatbuffers::Offset<T>;
 template <typename T>
 using Vector = flatbuffers::Vector<T>;
 
-constexpr std::size_t InitialBytes = 1024;
 /// Verifier limits: the schema nests five tables deep; a batch has a few thousand rows at most.
 constexpr flatbuffers::uoffset_t MaxDepth = 16;
 constexpr flatbuffers::uoffset_t MaxTables = 1'000'000;
-constexpr std::uint8_t NoFailure = 255;
 /// Longest duration either way that a frame may state; keeps sums with the current time from
 /// overflow.
 constexpr std::chrono::microseconds MaxSpan = std::chrono::hours(24 * 365);
 
-std::int64_t toMicroseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-}
-
-Offset<Vector<std::uint8_t>> encodeBytes(Builder &builder, const std::string &bytes)
-{
-    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
-}
-
 std::string decodeBytes(const Vector<std::uint8_t> *bytes)
 {
     return bytes ? std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size())
@@ -74,24 +61,13 @@
 /// False if the time is before 1970 or past the end of the clock.
 bool decodeTime(std::int64_t microseconds, WallTime &out)
 {
-    if (microseconds < 0 || microseconds > toMicroseconds(WallTime::max().time_since_epoch()))
+    if (microseconds < 0 ||
+        std::chrono::microseconds(microseconds) > WallTime::max().time_since_epoch())
         return false;
     out = WallTime(std::chrono::microseconds(microseconds));
     return true;
 }
 
-/// Encodes a vector of tables, row by row.
-template <typename Table, typename Row, typename Encode>
-Offset<Vector<Offset<Table>>> encodeRows(Builder &builder, const std::vector<Row> &rows,
-                                         Encode encode)
-{
-    std::vector<Offset<Table>> offsets;
-    offsets.reserve(rows.size());
-    for (const Row &row : rows)
-        offsets.push_back(encode(builder, row));
-    return builder.CreateVector(offsets);
-}
-
 /// Decodes a vector of tables; false if a row is out of range.
 template <typename Table, typename Row, typename Decode>
 bool decodeRows(const Vector<Offset<Table>> *rows, std::vector<Row> &out, Decode decode)
@@ -105,14 +81,6 @@
     return true;
 }
 
-Offset<wire::Member> encodeMember(Builder &builder, const Member &member)
-{
-    return wire::CreateMemberDirect(builder, member.name.c_str(), member.zone.c_str(),
-                                    member.address.c_str(), member.peerAddress.c_str(),
-                                    member.incarnation, static_cast<std::uint8_t>(member.state),
-                                    member.weight, member.isBusy);
-}
-
 bool decodeMember(const wire::Member &member, Member &out)
 {
     if (member.state() > static_cast<std::uint8_t>(MemberState::Dead))
@@ -127,24 +95,12 @@
            !out.peerAddress.empty();
 }
 
-Offset<wire::ObjectVersion> encodeVersion(Builder &builder, const ObjectVersion &version)
-{
-    return wire::CreateObjectVersionDirect(builder, version.key.c_str(), version.version);
-}
-
 bool decodeVersion(const wire::ObjectVersion &version, ObjectVersion &out)
 {
     out.version = version.version();
     return decodeString(version.key(), out.key) && !out.key.empty();
 }
 
-Offset<wire::StoredObject> encodeObject(Builder &builder, const StoredObject &object)
-{
-    const auto key = builder.CreateString(object.key);
-    const auto value = encodeBytes(builder, object.value);
-    return wire::CreateStoredObject(builder, key, object.version, value);
-}
-
 bool decodeObject(const wire::StoredObject &object, StoredObject &out)
 {
     out.version = object.version();
@@ -152,13 +108,6 @@
     return decodeString(object.key(), out.key) && !out.key.empty();
 }
 
-Offset<wire::Evidence> encodeEvidence(Builder &builder, const EvidenceRow &row)
-{
-    return wire::CreateEvidenceDirect(
-            builder, row.daemon.c_str(), row.incarnation, row.service.c_str(), row.version.c_str(),
-            static_cast<std::uint8_t>(row.route), row.good, row.bad, &row.latencyBuckets);
-}
-
 bool decodeKind(std::uint8_t kind, RequestKind &out)
 {
     out = static_cast<RequestKind>(kind);
@@ -175,27 +124,12 @@
            decodeString(row.version(), out.version) && decodeKind(row.route(), out.route);
 }
 
-Offset<wire::Stop> encodeStop(Builder &builder, const RolloutStop &stop)
-{
-    return wire::CreateStopDirect(builder, stop.service.c_str(), stop.version.c_str(),
-                                  toMicroseconds(stop.by.time_since_epoch()), stop.reason.c_str());
-}
-
 bool decodeStop(const wire::Stop &stop, RolloutStop &out)
 {
     return decodeString(stop.service(), out.service) && decodeString(stop.version(), out.version) &&
            decodeTime(stop.by_us(), out.by) && decodeString(stop.reason(), out.reason);
 }
 
-Offset<wire::Gossip> encodeGossip(Builder &builder, const Gossip &gossip)
-{
-    const auto members = encodeRows<wire::Member>(builder, gossip.members, encodeMember);
-    const auto objects = encodeRows<wire::ObjectVersion>(builder, gossip.objects, encodeVersion);
-    const auto evidence = encodeRows<wire::Evidence>(builder, gossip.evidence, encodeEvidence);
-    const auto stops = encodeRows<wire::Stop>(builder, gossip.stops, encodeStop);
-    return wire::CreateGossip(builder, members, objects, evidence, stops);
-}
-
 bool decodeGossip(const wire::Gossip *gossip, Gossip &out)
 {
     if (!gossip)
@@ -206,14 +140,6 @@
            decodeRows(gossip->stops(), out.stops, decodeStop);
 }
 
-Offset<wire::SubEnd> encodeEnd(Builder &builder, const PeerSubEnd &end)
-{
-    const auto body = encodeBytes(builder, end.answer.body);
-    const std::uint8_t failure = end.failure ? static_cast<std::uint8_t>(*end.failure) : NoFailure;
-    return wire::CreateSubEnd(builder, end.id, failure, end.answer.shard, end.answer.indexVersion,
-                              end.answer.documents, body, toMicroseconds(end.answer.latency));
-}
-
 bool decodeEnd(const wire::SubEnd &end, PeerSubEnd &out)
 {
     out.id = end.id();
@@ -227,13 +153,6 @@
     return decodeSpan(end.latency_us(), out.answer.latency);
 }
 
-Offset<wire::UpstreamReport> encodeReport(Builder &builder, const UpstreamReport &report)
-{
-    return wire::CreateUpstreamReportDirect(
-            builder, report.address.c_str(), report.served.oldest, report.served.newest,
-            report.warmBootId, report.isDraining, report.inFlight, toMicroseconds(report.latency));
-}
-
 bool decodeReport(const wire::UpstreamReport &report, UpstreamReport &out)
 {
     out.served = {report.oldest(), report.newest()};
@@ -244,28 +163,6 @@
            decodeSpan(report.latency_us(), out.latency);
 }
 
-/// Replicas of a batch repeat few addresses, so the frame carries each address once.
-Offset<wire::SubBatch> encodeBatch(Builder &builder, const PeerSubBatch &batch)
-{
-    std::map<std::string, std::uint32_t> indexOf;
-    std::vector<Offset<flatbuffers::String>> addresses;
-    std::vector<wire::SubRequestRef> requests;
-    for (const PeerSubRequest &request : batch.requests) {
-        const auto [place, isNew] =
-                indexOf.try_emplace(request.address, static_cast<std::uint32_t>(addresses.size()));
-        if (isNew)
-            addresses.push_back(builder.CreateString(request.address));
-        requests.emplace_back(request.id, request.shard, place->second);
-    }
-    const auto service = builder.CreateString(batch.service);
-    const auto body = encodeBytes(builder, batch.body);
-    const auto addressVector = builder.CreateVector(addresses);
-    const auto requestVector = builder.CreateVectorOfStructs(requests);
-    return wire::CreateSubBatch(builder, static_cast<std::uint8_t>(batch.kind), service,
-                                batch.indexVersion, toMicroseconds(batch.remaining), body,
-                                addressVector, requestVector);
-}
-
 bool decodeBatch(const wire::SubBatch &batch, PeerSubBatch &out)
 {
     out.indexVersion = batch.index_version();
@@ -289,85 +186,6 @@
     return true;
 }
 
-/// Builds the body of each message kind.
-struct BodyEncoder
-{
-    Builder &builder;
-    wire::Body kind = wire::Body::NONE;
-
-    Offset<void> operator()(const PeerHello &hello)
-    {
-        kind = wire::Body::Hello;
-        const auto self = encodeMember(builder, hello.self);
-        const auto plane = static_cast<std::uint8_t>(hello.plane);
-        return wire::CreateHelloDirect(builder, self, hello.cell.c_str(), plane).Union();
-    }
-    Offset<void> operator()(const PeerPing &ping)
-    {
-        kind = wire::Body::Ping;
-        return wire::CreatePing(builder, ping.sequence, encodeGossip(builder, ping.gossip)).Union();
-    }
-    Offset<void> operator()(const PeerAck &ack)
-    {
-        kind = wire::Body::Ack;
-        const auto gossip = encodeGossip(builder, ack.gossip);
-        return wire::CreateAckDirect(builder, ack.sequence, ack.target.c_str(), gossip).Union();
-    }
-    Offset<void> operator()(const PeerPingRequest &request)
-    {
-        kind = wire::Body::PingRequest;
-        const auto gossip = encodeGossip(builder, request.gossip);
-        return wire::CreatePingRequestDirect(builder, request.sequence, request.target.c_str(),
-                                             gossip)
-                .Union();
-    }
-    Offset<void> operator()(const PeerObjectPull &pull)
-    {
-        kind = wire::Body::ObjectPull;
-        const auto wanted = encodeRows<wire::ObjectVersion>(builder, pull.wanted, encodeVersion);
-        return wire::CreateObjectPull(builder, wanted, pull.everything).Union();
-    }
-    Offset<void> operator()(const PeerObjectPush &push)
-    {
-        kind = wire::Body::ObjectPush;
-        const auto objects = encodeRows<wire::StoredObject>(builder, push.objects, encodeObject);
-        return wire::CreateObjectPush(builder, objects, push.isCompleteCopy).Union();
-    }
-    Offset<void> operator()(const PeerFleetBeat &beat)
-    {
-        kind = wire::Body::FleetBeat;
-        return wire::CreateFleetBeat(builder, beat.digest).Union();
-    }
-    Offset<void> operator()(const PeerSubBatch &batch)
-    {
-        kind = wire::Body::SubBatch;
-        return encodeBatch(builder, batch).Union();
-    }
-    Offset<void> operator()(const PeerSubReply &reply)
-    {
-        kind = wire::Body::SubReply;
-        const auto ends = encodeRows<wire::SubEnd>(builder, reply.ends, encodeEnd);
-        return wire::CreateSubReply(builder, ends).Union();
-    }
-    Offset<void> operator()(const PeerSubCancel &cancel)
-    {
-        kind = wire::Body::SubCancel;
-        return wire::CreateSubCancelDirect(builder, &cancel.ids).Union();
-    }
-    Offset<void> operator()(const PeerUpstreamReports &reports)
-    {
-        kind = wire::Body::UpstreamReports;
-        const auto rows = encodeRows<wire::UpstreamReport>(builder, reports.reports, encodeReport);
-        return wire::CreateUpstreamReports(builder, rows).Union();
-    }
-    Offset<void> operator()(const PeerRelease &release)
-    {
-        kind = wire::Body::Release;
-        return wire::CreateReleaseDirect(builder, release.daemon.c_str(), release.incarnation)
-                .Union();
-    }
-};
-
 std::optional<PeerMessage> decodeHello(const wire::Hello &hello)
 {
     PeerHello out;
@@ -510,23 +328,6 @@
     return "unknown";
 }
 
-std::vector<std::uint8_t> encodePeerMessage(const PeerMessage &message)
-{
-    Builder builder(InitialBytes);
-    BodyEncoder encoder{builder};
-    const Offset<void> body = std::visit(encoder, message);
-    builder.Finish(wire::CreateFrame(builder, encoder.kind, body));
-    // FlatBuffers' own size prefix would shift the alignment that the verifier checks once the
-    // receiver has read the prefix on its own.
-    const auto size = static_cast<std::uint32_t>(builder.GetSize());
-    std::vector<std::uint8_t> frame;
-    frame.reserve(size + 4);
-    for (int shift = 0; shift < 32; shift += 8)
-        frame.push_back(static_cast<std::uint8_t>(size >> shift));
-    frame.insert(frame.end(), builder.GetBufferPointer(), builder.GetBufferPointer() + size);
-    return frame;
-}
-
 std::optional<PeerMessage> decodePeerMessage(std::span<const std::uint8_t> frame, FrameError &error)
 {
     error = FrameError::None;
--- a/src/connection/peer_codec_p.h
+++ b/src/connection/peer_codec_p.h
@@ -20,6 +20,9 @@
 };
 const char *toString(FrameError error);
 
+/// Failure that a frame states for a sub-request that was answered.
+inline constexpr std::uint8_t NoFailure = 255;
+
 /// Encodes one frame with its four-byte little-endian length prefix.
 std::vector<std::uint8_t> encodePeerMessage(const PeerMessage &message);
 
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -25,8 +25,6 @@
 constexpr std::chrono::milliseconds PollInterval{50};
 /// Interval of full reports; changes are sent at once, so this only repairs lost ones.
 constexpr std::chrono::seconds FullReportInterval{5};
-/// Interval at which evidence is compared and shares step on.
-constexpr std::chrono::milliseconds RolloutInterval{200};
 /// Interval at which a daemon that lacks configuration asks its peers again.
 constexpr std::chrono::milliseconds AskInterval{250};
 
@@ -381,107 +379,6 @@
     m_context.timers.schedule(PollInterval, [this] { pollUpstreams(); });
 }
 
-// Moves
-
-bool Control::isServedEverywhere(const std::string &service, const std::string &version) const
-{
-    const SnapshotPin snapshot = m_context.snapshots.pin();
-    const auto found = snapshot->services.find(service);
-    if (found == snapshot->services.end() || !found->second->view)
-        return false;
-    const ServiceRouting &routing = *found->second;
-    for (const std::vector<std::uint32_t> &replicas : routing.view->replicas) {
-        const bool isServed = std::any_of(replicas.begin(), replicas.end(), [&](std::uint32_t i) {
-            return routing.searchers[i].entry.backEndVersion == version;
-        });
-        if (!isServed)
-            return false;
-    }
-    return true;
-}
-
-std::vector<VersionShare> Control::sharesOf(const std::string &service) const
-{
-    std::vector<VersionShare> shares = m_rollout.shares(service);
-    if (shares.empty())
-        return {};
-    // The rest of the traffic goes to the old versions in proportion to their searchers.
-    const VersionShare fresh = shares.front();
-    const double rest = shares.back().share;
-    std::map<std::string, double> searchers;
-    double total = 0;
-    for (const SearcherEntry &entry : m_inputs.hosts.searchers) {
-        if (entry.service != service || entry.backEndVersion == fresh.version)
-            continue;
-        searchers[entry.backEndVersion] += 1;
-        total += 1;
-    }
-    shares = {fresh};
-    for (const auto &[version, count] : searchers)
-        shares.push_back({version, rest * count / total});
-    return shares;
-}
-
-void Control::updateEvidenceCounters()
-{
-    std::erase_if(m_inputs.evidence, [&](const auto &entry) {
-        return m_inputs.rules.moveFor(entry.first) == nullptr;
-    });
-    for (const SearcherEntry &entry : m_inputs.hosts.searchers) {
-        if (!m_inputs.rules.moveFor(entry.service))
-            continue;
-        std::shared_ptr<VersionEvidence> &counters =
-                m_inputs.evidence[entry.service][entry.backEndVersion];
-        if (!counters) {
-            counters = std::make_shared<VersionEvidence>();
-            requestRebuild();
-        }
-    }
-}
-
-std::vector<EvidenceRow> Control::ownEvidence() const
-{
-    std::vector<EvidenceRow> rows;
-    for (const auto &[service, byVersion] : m_inputs.evidence) {
-        for (const auto &[version, counters] : byVersion) {
-            for (const RequestKind route : {RequestKind::Search, RequestKind::Book}) {
-                const AnswerEvidence &counter = counters->routes[static_cast<std::size_t>(route)];
-                EvidenceRow row{m_config.self.name,
-                                m_startedAt,
-                                service,
-                                version,
-                                route,
-                                counter.good(),
-                                counter.bad(),
-                                counter.latencyBuckets()};
-                if (row.good + row.bad > 0)
-                    rows.push_back(std::move(row));
-            }
-        }
-    }
-    return rows;
-}
-
-void Control::stepRollouts()
-{
-    updateEvidenceCounters();
-    for (const EvidenceRow &row : ownEvidence())
-        m_rollout.takeEvidence(row);
-    for (const MoveRule &move : m_inputs.rules.moves)
-        m_rollout.setServedEverywhere(move.service, move.version,
-                                      isServedEverywhere(move.service, move.version));
-    m_rollout.tick();
-    m_moveRecorder.step(m_inputs.rulesVersion);
-    std::map<std::string, std::vector<VersionShare>, std::less<>> shares;
-    for (const MoveRule &move : m_inputs.rules.moves)
-        shares[move.service] = sharesOf(move.service);
-    if (shares != m_inputs.versionShares) {
-        m_inputs.versionShares = std::move(shares);
-        requestRebuild();
-    }
-    m_context.timers.schedule(RolloutInterval, [this] { stepRollouts(); });
-}
-
 // Routing
 
 bool Control::isOwnZoneOutForLong() const
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,8 @@
 // faults from outside. Checks what callers and searchers see; ends with 1 and the seed on the first
 // broken promise. Only processes that it started are signalled, by their ids.
 
-#include "fault_proxy.h"
+#include "promises.h"
+#include "soak_searcher.h"
 #include "support/platform_standins.h"
 
 #include "connection/endpoint_p.h"
@@ -34,10 +35,6 @@
 constexpr int Shards = 4;
 constexpr int ReplicasPerShard = 2;
 constexpr int DeskSearchers = 3;
-/// A leaving searcher gets nothing new after this; the platform's bound.
-constexpr std::chrono::milliseconds DrainBound{3000};
-/// Time without trouble at store and daemons in which the bound holds.
-constexpr std::chrono::milliseconds CalmBefore{4000};
 constexpr std::chrono::milliseconds RequestInterval{12};
 constexpr std::chrono::milliseconds ClientLimit{3000};
 constexpr std::chrono::seconds StopGrace{6};
@@ -58,40 +55,6 @@
            ".1";
 }
 
-class Soak;
-
-/// A searcher that counts what it runs and misbehaves when told to.
-class SoakSearcher
-{
-public:
-    enum class Mode { Serving, Full, LosesAnswers, Silent, Slow, Garbles };
-
-    SoakSearcher(Soak &soak, std::string service, std::string id);
-
-    json::object entry(const char *state) const
-    {
-        return {{"service", service},  {"address", proxy.address()},
-                {"zone", "z"},         {"config_version", "v1"},
-                {"slots", 2},          {"state", state},
-                {"warmup_left_ms", 0}, {"sequence_number", 1}};
-    }
-
-    const std::string service;
-    const std::string id;
-    Mode mode = Mode::Serving;
-    /// Since when it has said that it leaves.
-    std::optional<TimePoint> drainingSince;
-
-private:
-    RawAnswer answer(const std::string &head);
-
-    Soak &m_soak;
-    RawServer m_server;
-
-public:
-    FaultProxy proxy;
-};
-
 /// A gateway process and the proxy between it and the store.
 struct Gateway
 {
@@ -112,13 +75,14 @@
     std::unique_ptr<HttpClient> client;
 };
 
-class Soak
+class Soak final : public RunObserver
 {
 public:
     explicit Soak(Options options)
         : m_options(std::move(options))
         , m_host(hostOf(m_options.seed))
         , m_random(m_options.seed)
+        , m_promises(m_options.seed, Shards)
     {
         m_store.put("config", "main", configuration());
         for (int i = 0; i < DeskSearchers; ++i)
@@ -153,27 +117,19 @@
         runFor(5s);
         checkRecovery();
         stopAll();
-        std::cout << "seed " << m_options.seed << ": " << m_sent << " requests, " << m_answered
-                  << " served, " << m_refused << " refused, " << m_faults << " faults, "
-                  << (m_broken.empty() ? "all promises kept" : "BROKEN: " + m_broken) << '\n';
-        return m_broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+        std::cout << "seed " << m_options.seed << ": " << m_sent << " requests, "
+                  << m_promises.answered() << " served, " << m_promises.refused() << " refused, "
+                  << m_faults << " faults, "
+                  << (m_promises.firstBroken().empty() ? "all promises kept"
+                                                       : "BROKEN: " + m_promises.firstBroken())
+                  << '\n';
+        return m_promises.firstBroken().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
     }
 
-    void onRun(SoakSearcher &searcher, const std::string &id, bool isAtMostOnce)
+    void onRun(const SoakSearcher &searcher, const std::string &id, bool isAtMostOnce) override
     {
-        if (!m_known.contains(id))
-            broken("request " + id + " was never sent");
-        if (++m_runs[id] > 1 && isAtMostOnce)
-            broken("at-most-once request " + id + " ran twice");
-        if (m_notRun.contains(id))
-            broken("request " + id + " ran after it was called not run");
-        const TimePoint now = m_timers.now();
-        if (searcher.drainingSince && now - *searcher.drainingSince > DrainBound &&
-            m_lastTrouble + CalmBefore < *searcher.drainingSince)
-            broken("request " + id + " reached " + searcher.id + " after it had left");
+        m_promises.onRun(searcher, id, isAtMostOnce, m_timers.now(), m_lastTrouble);
     }
-    boost::asio::io_context &context() { return m_context; }
-    std::mt19937_64 &random() { return m_random; }
 
 private:
     json::object configuration() const
@@ -203,7 +159,8 @@
 
     void addSearcher(const std::string &service, const std::string &id)
     {
-        m_searchers.push_back(std::make_unique<SoakSearcher>(*this, service, id));
+        m_searchers.push_back(
+                std::make_unique<SoakSearcher>(m_context, *this, service, id, m_random()));
         m_store.put("servers", id, m_searchers.back()->entry("ready"));
     }
 
@@ -285,7 +242,7 @@
     void request(Gateway &gateway, const std::string &prefix)
     {
         const std::string id = "r" + std::to_string(++m_sent);
-        m_known.insert(id);
+        m_promises.onSent(id);
         HttpRequest request(http::verb::get, prefix + id, 11);
         request.set("Request-Id", id);
         request.set("Deadline-Ms", "2000");
@@ -294,58 +251,14 @@
                              [this, id, prefix, &gateway, isPlanned](HttpFailure failure,
                                                                      const HttpResponse &response) {
                                  if (failure == HttpFailure::None)
-                                     onAnswer(id, prefix, response);
+                                     m_promises.onAnswer(id, prefix == "/all/", response);
                                  else if (failure == HttpFailure::ResponseLost && isPlanned &&
-                                          gateway.isUndisturbed && m_runs.contains(id))
-                                     broken("request " + id + " was cut off without a fault");
+                                          gateway.isUndisturbed && m_promises.hasRun(id))
+                                     m_promises.broken("request " + id +
+                                                       " was cut off without a fault");
                              });
     }
 
-    void onAnswer(const std::string &id, const std::string &prefix, const HttpResponse &response)
-    {
-        const unsigned status = response.result_int();
-        if (status == 503 || status == 429) {
-            ++m_refused;
-            m_notRun.insert(id);
-            // A refused query over shards may not have reached any of them either.
-            if (m_runs.contains(id))
-                broken("request " + id + " ran and was called not run");
-            return;
-        }
-        if (status != 200)
-            return;
-        ++m_answered;
-        if (prefix != "/all/") {
-            if (response.body() != "answer to " + id ||
-                !response["Server-Stamp"].ends_with("/" + id))
-                broken("request " + id + " got another answer");
-            return;
-        }
-        checkMerged(id, response);
-    }
-
-    void checkMerged(const std::string &id, const HttpResponse &response)
-    {
-        std::set<std::string> services;
-        std::string stamps(response["Part-Stamps"]);
-        std::size_t parts = 0;
-        for (std::size_t at = 0; at < stamps.size(); ++parts) {
-            const std::size_t end = std::min(stamps.find(", ", at), stamps.size());
-            const std::string stamp = stamps.substr(at, end - at);
-            if (!stamp.ends_with("/" + id))
-                broken("request " + id + " holds a part of another: " + stamp);
-            services.insert(stamp.substr(0, 2));
-            at = end + 2;
-        }
-        const std::size_t missing =
-                std::strtoul(std::string(response["Missing-Parts"]).c_str(), nullptr, 10);
-        if (services.size() != parts || parts + missing != Shards || parts * 2 < Shards)
-            broken("request " + id + " states a wrong coverage: " + stamps);
-        if (response.body().size() != parts * 16)
-            broken("request " + id + " merged " + std::to_string(response.body().size()) +
-                   " bytes of " + std::to_string(parts) + " parts");
-    }
-
     // Faults
 
     void fault()
@@ -440,12 +353,12 @@
         int status = 0;
         if (::waitpid(gateway.process, &status, WNOHANG) == 0) {
             if (m_timers.now() > end && gateway.isUndisturbed)
-                broken(gateway.name + " did not end within its grace");
+                m_promises.broken(gateway.name + " did not end within its grace");
             later(50ms, [this, &gateway, end] { awaitEnd(gateway, end); });
             return;
         }
         if (gateway.isUndisturbed && status != 0)
-            broken(gateway.name + " ended with status " + std::to_string(status));
+            m_promises.broken(gateway.name + " ended with status " + std::to_string(status));
         gateway.process = 0;
         if (m_isServing)
             start(gateway);
@@ -496,16 +409,16 @@
                 start(*gateway);
         }
         runFor(3s);
-        const std::uint64_t before = m_answered;
+        const std::uint64_t before = m_promises.answered();
         constexpr int Checks = 30;
         for (int i = 0; i < Checks; ++i) {
             request(*m_gateways[pick(m_gateways.size())], "/all/");
             runFor(30ms);
         }
         runFor(1s);
-        if (m_answered - before < Checks * 9 / 10)
-            broken("only " + std::to_string(m_answered - before) + " of " + std::to_string(Checks) +
-                   " requests were served after the faults");
+        if (m_promises.answered() - before < Checks * 9 / 10)
+            m_promises.broken("only " + std::to_string(m_promises.answered() - before) + " of " +
+                              std::to_string(Checks) + " requests were served after the faults");
     }
 
     void stopAll()
@@ -520,12 +433,6 @@
         runFor(StopGrace + 500ms);
     }
 
-    void broken(const std::string &promise)
-    {
-        if (m_broken.empty())
-            m_broken = promise;
-        std::cerr << "seed " << m_options.seed << ": " << promise << '\n';
-    }
     std::size_t pick(std::size_t count) { return m_random() % count; }
     void later(Duration delay, std::function<void()> step)
     {
@@ -540,59 +447,19 @@
     const Options m_options;
     const std::string m_host;
     std::mt19937_64 m_random;
+    Promises m_promises;
     boost::asio::io_context m_context;
     AsioTimerService m_timers{m_context};
     PlatformStore m_store{m_context};
     std::vector<std::unique_ptr<SoakSearcher>> m_searchers;
     std::vector<std::unique_ptr<Gateway>> m_gateways;
     json::array m_peers;
-    std::set<std::string> m_known;
-    std::map<std::string, int> m_runs;
-    std::set<std::string> m_notRun;
     TimePoint m_lastTrouble{};
     bool m_isServing = false;
     std::uint64_t m_sent = 0;
-    std::uint64_t m_answered = 0;
-    std::uint64_t m_refused = 0;
     std::uint64_t m_faults = 0;
-    std::string m_broken;
 };
 
-SoakSearcher::SoakSearcher(Soak &soak, std::string ownService, std::string ownId)
-    : service(std::move(ownService))
-    , id(std::move(ownId))
-    , m_soak(soak)
-    , m_server(soak.context(), [this](const std::string &head) { return answer(head); })
-    , proxy(soak.context(), m_server.endpoint())
-{
-}
-
-RawAnswer SoakSearcher::answer(const std::string &head)
-{
-    const std::string request = headerValue(head, "Request-Id");
-    if (mode == Mode::Full)
-        return {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
-    m_soak.onRun(*this, request, head.starts_with("GET /once/"));
-    const std::string body =
-            service == "desk" ? "answer to " + request : (id + "................").substr(0, 16);
-    const std::string whole =
-            "HTTP/1.1 200 OK\r\nRequest-Id: " + request + "\r\nServer-Stamp: " + id + "/" +
-            request + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    const std::chrono::milliseconds work(3 + m_soak.random()() % 15);
-    switch (mode) {
-    case Mode::LosesAnswers:
-        return {"", RawAnswer::Then::Reset};
-    case Mode::Silent:
-        return {""};
-    case Mode::Garbles:
-        return {whole.substr(0, whole.size() - 2), RawAnswer::Then::Close};
-    case Mode::Slow:
-        return {"", RawAnswer::Then::Keep, whole, work * 12};
-    default:
-        return {"", RawAnswer::Then::Keep, whole, work};
-    }
-}
-
 } // namespace
 
 int main(int argc, char **argv)
--- /dev/null
+++ b/tests/soak/soak_searcher.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "fault_proxy.h"
+#include "support/platform_standins.h"
+
+#include <geraniumcart/timer_service.h>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace geraniumcart::soak {
+
+class SoakSearcher;
+
+/// Hears of each request that a searcher runs.
+class RunObserver
+{
+public:
+    virtual ~RunObserver() = default;
+    virtual void onRun(const SoakSearcher &searcher, const std::string &id, bool isAtMostOnce) = 0;
+};
+
+/// A searcher behind a fault proxy that reports what it runs and misbehaves when told to.
+class SoakSearcher
+{
+public:
+    enum class Mode { Serving, Full, LosesAnswers, Silent, Slow, Garbles };
+
+    SoakSearcher(boost::asio::io_context &context, RunObserver &observer, std::string ownService,
+                 std::string ownId, std::uint64_t seed)
+        : service(std::move(ownService))
+        , id(std::move(ownId))
+        , m_observer(observer)
+        , m_random(seed)
+        , m_server(context, [this](const std::string &head) { return answer(head); })
+        , proxy(context, m_server.endpoint())
+    {
+    }
+
+    boost::json::object entry(const char *state) const
+    {
+        return {{"service", service},  {"address", proxy.address()},
+                {"zone", "z"},         {"config_version", "v1"},
+                {"slots", 2},          {"state", state},
+                {"warmup_left_ms", 0}, {"sequence_number", 1}};
+    }
+
+    const std::string service;
+    const std::string id;
+    Mode mode = Mode::Serving;
+    /// Since when it has said that it leaves.
+    std::optional<TimePoint> drainingSince;
+
+private:
+    test::RawAnswer answer(const std::string &head);
+
+    RunObserver &m_observer;
+    std::mt19937_64 m_random;
+    test::RawServer m_server;
+
+public:
+    FaultProxy proxy;
+};
+
+inline test::RawAnswer SoakSearcher::answer(const std::string &head)
+{
+    const std::string request = test::headerValue(head, "Request-Id");
+    if (mode == Mode::Full)
+        return {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    m_observer.onRun(*this, request, head.starts_with("GET /once/"));
+    const std::string body =
+            service == "desk" ? "answer to " + request : (id + "................").substr(0, 16);
+    const std::string whole =
+            "HTTP/1.1 200 OK\r\nRequest-Id: " + request + "\r\nServer-Stamp: " + id + "/" +
+            request + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::chrono::milliseconds work(3 + m_random() % 15);
+    switch (mode) {
+    case Mode::LosesAnswers:
+        return {"", test::RawAnswer::Then::Reset};
+    case Mode::Silent:
+        return {""};
+    case Mode::Garbles:
+        return {whole.substr(0, whole.size() - 2), test::RawAnswer::Then::Close};
+    case Mode::Slow:
+        return {"", test::RawAnswer::Then::Keep, whole, work * 12};
+    default:
+        return {"", test::RawAnswer::Then::Keep, whole, work};
+    }
+}
+
+} // namespace geraniumcart::soak
