Compare a decoded time in microseconds

Cause: parting the codec turned the comparison into nanoseconds, in which a large value overflows; the codec's test of out-of-range times showed it at once.

Result: the codec's cases pass again.

--- a/src/connection/peer_codec_decode.cpp
+++ b/src/connection/peer_codec_decode.cpp
@@ -61,8 +61,10 @@
 /// False if the time is before 1970 or past the end of the clock.
 bool decodeTime(std::int64_t microseconds, WallTime &out)
 {
-    if (microseconds < 0 ||
-        std::chrono::microseconds(microseconds) > WallTime::max().time_since_epoch())
+    // Compared in microseconds: the clock counts nanoseconds, in which a large value overflows.
+    constexpr auto Latest = std::chrono::duration_cast<std::chrono::microseconds>(
+            WallTime::max().time_since_epoch());
+    if (microseconds < 0 || microseconds > Latest.count())
         return false;
     out = WallTime(std::chrono::microseconds(microseconds));
     return true;
