--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -98,7 +98,7 @@
         for (const auto &gateway : m_gateways)
             start(*gateway);
     }
-    ~Soak()
+    ~Soak() override
     {
         for (const auto &gateway : m_gateways)
             if (gateway->process > 0)
