Move services to ordered versions on the platform

Orders at rollouts/SERVICE were not read: searchers of the new version got their full part of the requests at once, and no state was recorded.

FleetRollouts reads the orders, divides the requests of each daemon between the new version and all others, and records the state on condition of the order's revision. The decision is the product's Rollout on counts of all daemons, which ride on heartbeats; VersionSplit is taken out of the replica choice, so that both sides share it. The new version gets 5% for seven tenths of the time and all of it by 85%: a bad one may get a tenth of the requests and 50 more, and some turn bad late or under load.

Two faults of Rollout were found on the way, each with a test that failed first: - The counts of an earlier move of the same service hid those of the next one, since counters start at 0 and only larger counts were taken. - The time that a move has left came from the wall clock, so that a step ahead ended it at once and a step back stopped it.

Ruled out: decisions by one daemon alone (a stop would wait for it), stops through the store alone (it may be away), shares by back-end version in the view (a later version would be kept out by an old record).

--- a/include/geraniumcart/answer_evidence.h
+++ b/include/geraniumcart/answer_evidence.h
@@ -5,6 +5,9 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace geraniumcart {
@@ -41,4 +44,9 @@
     std::array<AnswerEvidence, 2> routes;
 };
 
+/// Counters of one service by back-end version.
+using EvidenceByVersion = std::map<std::string, std::shared_ptr<VersionEvidence>, std::less<>>;
+/// Counters of one daemon by service.
+using EvidenceCounters = std::map<std::string, EvidenceByVersion, std::less<>>;
+
 } // namespace geraniumcart
--- a/include/geraniumcart/rollout.h
+++ b/include/geraniumcart/rollout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumcart/answer_evidence.h>
 #include <geraniumcart/rules.h>
 #include <geraniumcart/snapshot.h>
 #include <geraniumcart/sub_request.h>
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -62,6 +64,9 @@
     std::uint64_t provingAnswers = 200;
     /// Least time before a version counts as proven.
     Duration provingTime = std::chrono::seconds(3);
+    /// Part of the time until the set time in which the share stays small even once proven. Zero
+    /// moves traffic evenly from the proof on.
+    double holdPart = 0;
     /// The move ends this part of the remaining time before its set time.
     double endMargin = 0.2;
     /// Time over which bad answers and latencies are compared; two windows, so that both a sudden
@@ -76,6 +81,10 @@
     double falseStopChance = 1e-7;
 };
 
+/// Rows of @p counters that have seen an answer.
+std::vector<EvidenceRow> evidenceRows(const std::string &daemon, std::uint64_t incarnation,
+                                      const EvidenceCounters &counters);
+
 /// Decides how traffic moves from one back-end version to another. Each daemon runs one on the
 /// merged evidence of its cell and stops a bad version by itself. Belongs to the control thread.
 class Rollout
@@ -103,6 +112,8 @@
     std::vector<MoveStatus> statuses() const;
     /// Stops of the moves in force, for gossip and for the record.
     std::vector<RolloutStop> stops() const;
+    /// Latest counts of each daemon, version and route of the services under a move.
+    std::vector<EvidenceRow> evidence() const;
 
 private:
     /// Counts of one version on one route, summed over daemons.
@@ -128,8 +139,9 @@
         std::string reason;
         TimePoint startedAt{};
         bool isServedEverywhere = true;
+        /// The rule's set time; steps of the wall clock after the start do not change it.
+        TimePoint dueAt{};
         std::optional<TimePoint> provenAt;
-        WallTime provenWall{};
         std::deque<Sample> samples;
         double share = 0;
     };
--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -118,6 +118,8 @@
     bool isUntried(const Upstream &upstream) const;
     bool mayUse(const Upstream &upstream, TimePoint now);
     bool tryTakeBudget();
+    /// Counts of the searcher's version on this kind of route; null while no rollout is under way.
+    AnswerEvidence *evidenceOf(const Upstream &upstream) const;
     void note(TraceStep step, const Upstream *upstream = nullptr);
     void continueAfterFailure();
     void proceed(Cause cause);
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <geraniumcart/answer_evidence.h>
 #include <geraniumcart/hedging.h>
 #include <geraniumcart/rcu_publisher.h>
 #include <geraniumcart/route_table.h>
 #include <geraniumcart/snapshot.h>
 #include <geraniumcart/upstream.h>
+#include <geraniumcart/version_split.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -21,6 +23,27 @@
 /// divided as if they were there already.
 inline constexpr std::uint32_t JoiningDaemons = 3;
 
+/// How the requests of a service are divided between one back-end version and all others.
+struct VersionDivision
+{
+    /// Empty while all versions are equal.
+    std::string version;
+    /// Share of the requests that go to version, 0 to 1. At 0 and 1 one side gets nothing, even
+    /// where no other searcher is left.
+    double share = 0;
+    /// Where the answers of both sides are counted; absent where nothing is decided on them.
+    std::shared_ptr<VersionEvidence> evidence;
+    std::shared_ptr<VersionEvidence> othersEvidence;
+
+    bool isDivided() const { return !version.empty(); }
+    bool hasShare(const std::string &of) const
+    {
+        return !isDivided() || (of == version ? share > 0 : share < 1);
+    }
+    bool operator==(const VersionDivision &) const = default;
+};
+using VersionDivisions = std::map<std::string, VersionDivision, std::less<>>;
+
 /// The searchers of one service that may get new requests.
 struct ServiceUpstreams
 {
@@ -28,6 +51,7 @@
     /// Paces what is sent beyond first attempts; the same object in every view.
     std::shared_ptr<AttemptBudget> budget;
     std::vector<std::shared_ptr<Upstream>> upstreams;
+    VersionDivision division;
 };
 
 /// Everything a request needs to know, as of one moment. Immutable once published.
@@ -105,6 +129,10 @@
 
     void setEntries(std::vector<EntryAddress> entries, std::uint32_t senders);
     void setLeaving();
+    /// @param divisions by service; services without one treat all versions alike
+    void setDivisions(VersionDivisions divisions);
+    /// True if a searcher of @p service with this back-end version may be used.
+    bool hasVersion(const std::string &service, const std::string &version) const;
     /// Called after each publication, on the control thread.
     void setObserver(std::function<void()> observer) { m_observer = std::move(observer); }
 
@@ -134,6 +162,7 @@
     std::map<std::string, std::shared_ptr<AttemptBudget>, std::less<>> m_budgets;
     std::map<std::string, std::shared_ptr<HedgingPolicy>, std::less<>> m_hedging;
     std::set<std::string> m_zonesOut;
+    VersionDivisions m_divisions;
     std::vector<EntryAddress> m_entries;
     std::uint32_t m_senders = 1;
     bool m_hasSearchers = false;
--- a/include/geraniumcart/snapshot.h
+++ b/include/geraniumcart/snapshot.h
@@ -5,6 +5,7 @@
 #include <geraniumcart/rcu_publisher.h>
 #include <geraniumcart/rules.h>
 #include <geraniumcart/upstream_state.h>
+#include <geraniumcart/version_split.h>
 
 #include <cstdint>
 #include <map>
@@ -38,14 +39,6 @@
     std::uint32_t coveredShards = 0;
 };
 
-/// Share of sub-requests that a back-end version receives while a move is under way.
-struct VersionShare
-{
-    std::string version;
-    double share = 1.0;
-    bool operator==(const VersionShare &) const = default;
-};
-
 /// Everything a request needs of one service.
 struct ServiceRouting
 {
--- a/include/geraniumcart/snapshot_builder.h
+++ b/include/geraniumcart/snapshot_builder.h
@@ -34,8 +34,6 @@
     Owner,
 };
 
-using EvidenceByVersion = std::map<std::string, std::shared_ptr<VersionEvidence>, std::less<>>;
-
 /// Everything that routing derives from.
 struct RoutingInputs
 {
@@ -56,7 +54,7 @@
     /// For services under a move.
     std::map<std::string, std::vector<VersionShare>, std::less<>> versionShares;
     /// For services under a move: counters by back-end version.
-    std::map<std::string, EvidenceByVersion, std::less<>> evidence;
+    EvidenceCounters evidence;
 };
 
 /// Builds routing from inputs and from what the upstream states say of served index versions.
--- a/include/geraniumcart/upstream.h
+++ b/include/geraniumcart/upstream.h
@@ -18,6 +18,8 @@
     /// IP:port.
     std::string address;
     std::string zone;
+    /// Version of its software.
+    std::string version;
     /// When the searcher started; tells starts apart that share an instance id.
     std::int64_t bootTime = 0;
     std::uint32_t slots = 1;
@@ -37,6 +39,7 @@
         , m_service(record.service)
         , m_address(record.address)
         , m_zone(record.zone)
+        , m_version(record.version)
     {
     }
     Upstream(const Upstream &) = delete;
@@ -46,6 +49,7 @@
     const std::string &service() const { return m_service; }
     const std::string &address() const { return m_address; }
     const std::string &zone() const { return m_zone; }
+    const std::string &version() const { return m_version; }
 
     void noteSent(TimePoint now);
     /// An answer to a request came; @p latency counts from its dispatch.
@@ -92,6 +96,7 @@
     const std::string m_service;
     const std::string m_address;
     const std::string m_zone;
+    const std::string m_version;
     std::atomic<std::uint32_t> m_inFlight{0};
     std::atomic<std::uint32_t> m_failures{0};
     Ticks m_latency{0};
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -44,8 +44,14 @@
                                      TimePoint now,
                                      const std::function<bool(const Upstream &)> &isUsable);
 
+    /// As above, among the searchers of @p service. While its requests are divided among versions,
+    /// the version is picked first.
+    std::shared_ptr<Upstream> choose(const ServiceUpstreams &service, TimePoint now,
+                                     const std::function<bool(const Upstream &)> &isUsable);
+
 private:
     const std::string m_zone;
+    VersionSplits m_splits;
     std::mt19937_64 m_random;
 };
 
--- a/src/process/control_moves.cpp
+++ b/src/process/control_moves.cpp
@@ -71,25 +71,7 @@
 
 std::vector<EvidenceRow> Control::ownEvidence() const
 {
-    std::vector<EvidenceRow> rows;
-    for (const auto &[service, byVersion] : m_inputs.evidence) {
-        for (const auto &[version, counters] : byVersion) {
-            for (const RequestKind route : {RequestKind::Search, RequestKind::Book}) {
-                const AnswerEvidence &counter = counters->routes[static_cast<std::size_t>(route)];
-                EvidenceRow row{m_config.self.name,
-                                m_startedAt,
-                                service,
-                                version,
-                                route,
-                                counter.good(),
-                                counter.bad(),
-                                counter.latencyBuckets()};
-                if (row.good + row.bad > 0)
-                    rows.push_back(std::move(row));
-            }
-        }
-    }
-    return rows;
+    return evidenceRows(m_config.self.name, m_startedAt, m_inputs.evidence);
 }
 
 void Control::stepRollouts()
--- /dev/null
+++ b/src/process/fleet_rollouts.cpp
@@ -0,0 +1,265 @@
+#include <geraniumcart/fleet_rollouts.h>
+
+#include "process/log_p.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Interval at which counts are compared and shares step on.
+constexpr std::chrono::milliseconds StepInterval{200};
+/// Least time between two records of the same rollout, within which the store tells of the first.
+constexpr std::chrono::milliseconds RecordInterval{1000};
+/// The old searchers stop without draining once a rollout is recorded as completed, so none of them
+/// may have answered for this long; it covers the spread of shares between daemons.
+constexpr std::chrono::milliseconds OldQuietTime{1000};
+/// A completed rollout is recorded this long before it is due even if old searchers still answer.
+constexpr std::chrono::milliseconds LastRecordLead{500};
+/// Entries of searchers that stop without draining lapse after three heartbeats of 1.2 s; daemons
+/// see the end of the rollout within about 3 s of each other.
+constexpr std::chrono::seconds OldEntriesGrace{10};
+/// Rows of counts in one heartbeat, about 25 KB; a fleet of 60 daemons has twice as many.
+constexpr std::size_t MaxRowsPerHeartbeat = 128;
+/// Shares are rounded down to this step, so that not every step publishes a view.
+constexpr double ShareStep = 0.01;
+
+/// A bad version may get a tenth of the requests until the time is up. The share stays at half of
+/// that for most of the time, since some versions turn bad late; the rest moves quickly.
+constexpr RolloutConfig Config{
+        .unprovenShare = 0.05,
+        // A service without requests must move too, so time without a fault is proof enough.
+        .provingAnswers = 0,
+        .holdPart = 0.7,
+        .endMargin = 0.5,
+        // A twentieth of 20 requests a second is one answer a second.
+        .leastBad = 3,
+        .leastTimed = 20,
+        .falseStopChance = 1e-4,
+};
+
+bool isOpen(RolloutState state)
+{
+    return state == RolloutState::Ordered || state == RolloutState::InService;
+}
+
+double roundedShare(double share)
+{
+    return share >= 1 ? 1 : std::floor(share / ShareStep) * ShareStep;
+}
+
+} // namespace
+
+const char *toString(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Ordered:
+        return "ordered";
+    case RolloutState::InService:
+        return "inService";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        return "rolledBack";
+    }
+    return "unknown";
+}
+
+FleetRollouts::FleetRollouts(std::string self, std::uint64_t incarnation, TimerService &timers,
+                             ServingViewBuilder &view, Callbacks callbacks)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_timers(timers)
+    , m_view(view)
+    , m_callbacks(std::move(callbacks))
+    , m_rollout(Config, timers)
+{
+}
+
+void FleetRollouts::onRollout(const RolloutOrder &order)
+{
+    const auto [place, isNew] = m_entries.try_emplace(order.service);
+    Entry &entry = place->second;
+    const bool isOtherOrder = isNew || entry.order.version != order.version;
+    const bool hasChanged = isOtherOrder || entry.order.state != order.state;
+    if (isOtherOrder) {
+        m_counters.erase(order.service);
+        // Peers hold larger counts of the earlier order.
+        ++m_incarnation;
+        entry = Entry();
+        entry.by = order.dueAt.value_or(
+                m_timers.wallNow() +
+                std::chrono::duration_cast<WallTime::duration>(order.duration));
+        entry.dueAt = m_timers.now() +
+                      std::chrono::duration_cast<Duration>(entry.by - m_timers.wallNow());
+    }
+    entry.order = order;
+    if (!hasChanged)
+        return;
+    entry.stateSince = m_timers.now();
+    if (order.state == RolloutState::Completed)
+        m_timers.schedule(OldEntriesGrace, [this] { divideRequests(); });
+    logEvent(LogLevel::Info, "rolloutState",
+             {{"service", order.service},
+              {"version", order.version},
+              {"state", toString(order.state)},
+              {"revision", order.revision},
+              {"duration", order.duration}});
+    configure();
+}
+
+void FleetRollouts::onRolloutGone(const std::string &service)
+{
+    if (m_entries.erase(service) == 0)
+        return;
+    logEvent(LogLevel::Info, "rolloutGone", {{"service", service}});
+    configure();
+}
+
+void FleetRollouts::configure()
+{
+    RuleSet rules;
+    for (const auto &[service, entry] : m_entries)
+        if (isOpen(entry.order.state))
+            rules.moves.push_back({service, entry.order.version, entry.by, {}});
+    m_rollout.configure(rules);
+    divideRequests();
+    if (!rules.moves.empty() && !std::exchange(m_isStepping, true))
+        m_timers.schedule(StepInterval, [this] { step(); });
+}
+
+void FleetRollouts::step()
+{
+    for (const EvidenceRow &row : evidenceRows(m_self, m_incarnation, m_counters))
+        m_rollout.takeEvidence(row);
+    for (const auto &[service, entry] : m_entries)
+        m_rollout.setServedEverywhere(service, entry.order.version,
+                                      m_view.hasVersion(service, entry.order.version));
+    m_rollout.tick();
+    m_statuses = m_rollout.statuses();
+    bool isAnyOpen = false;
+    for (auto &[service, entry] : m_entries) {
+        if (!isOpen(entry.order.state))
+            continue;
+        isAnyOpen = true;
+        stepEntry(entry);
+    }
+    divideRequests();
+    m_isStepping = isAnyOpen;
+    if (isAnyOpen)
+        m_timers.schedule(StepInterval, [this] { step(); });
+}
+
+void FleetRollouts::stepEntry(Entry &entry)
+{
+    const MoveStatus *status = statusOf(entry.order.service);
+    if (!status)
+        return;
+    const bool isQuiet = isOldQuiet(entry);
+    if (status->state == MoveState::TakenBack)
+        record(entry, RolloutState::RolledBack, status->reason);
+    else if (status->state == MoveState::Done &&
+             (isQuiet || m_timers.now() >= entry.dueAt - LastRecordLead))
+        record(entry, RolloutState::Completed, status->reason);
+    else if (entry.order.state == RolloutState::Ordered)
+        record(entry, RolloutState::InService, status->reason);
+}
+
+void FleetRollouts::record(Entry &entry, RolloutState state, const std::string &reason)
+{
+    const TimePoint now = m_timers.now();
+    if (!m_callbacks.isRecorder() ||
+        (entry.lastRecord != TimePoint() && now - entry.lastRecord < RecordInterval))
+        return;
+    entry.lastRecord = now;
+    logEvent(LogLevel::Info, "rolloutRecorded",
+             {{"service", entry.order.service},
+              {"version", entry.order.version},
+              {"state", toString(state)},
+              {"reason", reason},
+              {"revision", entry.order.revision}});
+    RolloutOrder recorded = entry.order;
+    recorded.state = state;
+    recorded.dueAt = entry.by;
+    m_callbacks.record(recorded);
+}
+
+bool FleetRollouts::isOldQuiet(Entry &entry)
+{
+    std::uint64_t answers = 0;
+    for (const EvidenceRow &row : m_rollout.evidence())
+        if (row.service == entry.order.service && row.version != entry.order.version)
+            answers += row.good + row.bad;
+    if (answers != entry.oldAnswers || entry.oldQuietSince == TimePoint()) {
+        entry.oldAnswers = answers;
+        entry.oldQuietSince = m_timers.now();
+    }
+    return m_timers.now() - entry.oldQuietSince >= OldQuietTime;
+}
+
+const MoveStatus *FleetRollouts::statusOf(const std::string &service) const
+{
+    const auto found = std::ranges::find_if(m_statuses, [&service](const MoveStatus &status) {
+        return status.rule.service == service;
+    });
+    return found == m_statuses.end() ? nullptr : &*found;
+}
+
+void FleetRollouts::divideRequests()
+{
+    VersionDivisions divisions;
+    for (const auto &[service, entry] : m_entries)
+        if (auto division = divisionOf(entry))
+            divisions[service] = std::move(*division);
+    m_view.setDivisions(std::move(divisions));
+}
+
+std::optional<VersionDivision> FleetRollouts::divisionOf(const Entry &entry)
+{
+    const RolloutOrder &order = entry.order;
+    VersionDivision division;
+    division.version = order.version;
+    if (order.state == RolloutState::RolledBack)
+        return division;
+    if (order.state == RolloutState::Completed) {
+        // Entries of stopped searchers lapse a few seconds later. Searchers that come after that
+        // are not those that the order moved away from.
+        if (m_timers.now() - entry.stateSince >= OldEntriesGrace ||
+            !m_view.hasVersion(order.service, order.version))
+            return std::nullopt;
+        division.share = 1;
+        return division;
+    }
+    EvidenceByVersion &counters = m_counters[order.service];
+    for (const std::string &side : {order.version, std::string()})
+        if (!counters[side])
+            counters[side] = std::make_shared<VersionEvidence>();
+    division.share = roundedShare(m_rollout.shares(order.service).front().share);
+    division.evidence = counters[order.version];
+    division.othersEvidence = counters[std::string()];
+    return division;
+}
+
+void FleetRollouts::fill(Gossip &gossip)
+{
+    std::vector<EvidenceRow> rows = m_rollout.evidence();
+    if (rows.empty())
+        return;
+    // Another part each time, so that all rows pass in turn.
+    const std::size_t count = std::min(rows.size(), MaxRowsPerHeartbeat);
+    for (std::size_t i = 0; i < count; ++i)
+        gossip.evidence.push_back(std::move(rows[(m_nextRow + i) % rows.size()]));
+    m_nextRow = (m_nextRow + count) % rows.size();
+}
+
+void FleetRollouts::take(const std::string &, const Gossip &gossip)
+{
+    for (const EvidenceRow &row : gossip.evidence)
+        if (m_entries.contains(row.service))
+            m_rollout.takeEvidence(row);
+}
+
+} // namespace geraniumcart
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -86,13 +86,14 @@
     LinkCounts links;
 };
 
-/// Membership carries no other news here.
-class NoGossip final : public GossipExchange
+/// Grows with each start of a daemon on one host, as long as the clock does not step back by more
+/// than the time between two starts.
+std::uint64_t newIncarnation(const TimerService &timers)
 {
-public:
-    void fill(Gossip &) override {}
-    void take(const std::string &, const Gossip &) override {}
-};
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                              timers.wallNow().time_since_epoch())
+                                              .count());
+}
 
 MembershipConfig membershipConfig(const GatewaySettings &settings)
 {
@@ -161,7 +162,7 @@
     std::optional<CallerListener> m_metrics;
     /// Counts that are in m_stats already, by worker.
     std::vector<ExportedCounts> m_exported;
-    NoGossip m_gossip;
+    FleetRollouts m_rollouts;
     std::optional<ControlNetwork> m_network;
     std::optional<Membership> m_membership;
     std::optional<PeerListener> m_peers;
@@ -180,6 +181,9 @@
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_builder(m_timers, m_views, m_settings.retries)
     , m_workers(m_settings.workers)
+    , m_rollouts(m_settings.name, newIncarnation(m_timers), m_timers, m_builder,
+                 {[this](const RolloutOrder &order) { m_source->recordRollout(order); },
+                  [this] { return m_relay->isWatching(); }})
 {
     for (std::uint32_t i = 0; i < m_workers.size(); ++i)
         m_parts.push_back(std::make_unique<WorkerPart>(
@@ -220,7 +224,7 @@
             [this](const std::string &peer, PeerMessage message) {
                 onPeerMessage(peer, std::move(message));
             });
-    m_membership.emplace(membershipConfig(m_settings), m_timers, *m_network, m_gossip,
+    m_membership.emplace(membershipConfig(m_settings), m_timers, *m_network, m_rollouts,
                          [this] { onMembersChanged(); });
     m_peers.emplace(
             m_context, m_workers, Cell,
@@ -236,7 +240,7 @@
             m_settings.name, m_timers, *m_network,
             FleetRelay::Callbacks{[this](const StoredObject &object) { m_source->apply(object); },
                                   [this](bool isWatching) { m_source->setWatching(isWatching); }});
-    m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder);
+    m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder, m_rollouts);
     m_builder.setObserver([this] { onView(); });
     return true;
 }
--- a/src/process/gateway_daemon_p.h
+++ b/src/process/gateway_daemon_p.h
@@ -5,6 +5,7 @@
 #include "connection/upstream_link_p.h"
 
 #include <geraniumcart/fleet_relay.h>
+#include <geraniumcart/fleet_rollouts.h>
 #include <geraniumcart/gateway_settings.h>
 #include <geraniumcart/serving_view.h>
 
@@ -25,6 +26,9 @@
     virtual void setWatching(bool isWatching) = 0;
     /// Decodes one object, from the store or from a peer; what it says goes to the listener.
     virtual void apply(const StoredObject &object) = 0;
+    /// Writes the state of a rollout, on condition that the stored object is still of the order's
+    /// revision. A failure is logged; the caller tries again while the store tells another state.
+    virtual void recordRollout(const RolloutOrder &order) = 0;
 };
 
 /// What a platform brings: names on the wire, formats, and the source of the fleet's state. It
@@ -38,7 +42,8 @@
     /// @param sink, listener live longer than the source
     virtual std::unique_ptr<FleetSource> makeFleetSource(boost::asio::io_context &context,
                                                          TimerService &timers, FleetFactSink &sink,
-                                                         FleetListener &listener) = 0;
+                                                         FleetListener &listener,
+                                                         RolloutListener &rollouts) = 0;
     /// Serves callers that ask which daemons to use.
     virtual std::unique_ptr<CallerHandler>
     makeDirectoryHandler(const ServingViewPublisher &views) = 0;
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -1,4 +1,5 @@
 #include <geraniumcart/replica_choice.h>
+#include <geraniumcart/version_split.h>
 
 #include <algorithm>
 #include <array>
@@ -27,11 +28,6 @@
 /// without a free slot. Where other daemons use the same slots, the quantile is the tighter bound.
 constexpr double BusyQuantile = 0.8;
 constexpr double BusyQuantileStep = 0.05;
-/// Sub-requests over which a version's share is restored after a fallback.
-constexpr double ShareHorizon = 64;
-/// Most sub-requests that a version may be ahead of or behind its share before the rest is
-/// forgotten, so that a long one-sided phase does not starve a version afterwards.
-constexpr double MaxShareDebt = 256;
 
 class RandomSource
 {
@@ -45,8 +41,8 @@
     {
         return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_engine);
     }
-    double unit() { return std::uniform_real_distribution<double>()(m_engine); }
     bool oneIn(std::uint64_t interval) { return below(interval) == 0; }
+    std::mt19937_64 &engine() { return m_engine; }
 
 private:
     std::mt19937_64 m_engine;
@@ -71,41 +67,6 @@
     }
 };
 
-/// How far each back-end version of one service is behind its share of the sub-requests.
-struct VersionLedger
-{
-    struct Entry
-    {
-        std::string version;
-        double share = 0;
-        double credit = 0;
-    };
-    std::string service;
-    std::vector<Entry> entries;
-
-    bool matches(const std::vector<VersionShare> &shares) const
-    {
-        return std::ranges::equal(entries, shares, [](const Entry &entry, const VersionShare &s) {
-            return entry.version == s.version && entry.share == s.share;
-        });
-    }
-    void reset(const std::vector<VersionShare> &shares)
-    {
-        entries.clear();
-        for (const VersionShare &share : shares)
-            entries.push_back({share.version, share.share, 0});
-    }
-    void charge(const Entry &chosen)
-    {
-        double total = 0;
-        for (const Entry &entry : entries)
-            total += entry.share;
-        for (Entry &entry : entries)
-            entry.credit = std::clamp(entry.credit + entry.share / total - (&entry == &chosen),
-                                      -MaxShareDebt, MaxShareDebt);
-    }
-};
-
 bool isUsable(const Searcher &searcher, std::uint32_t replica,
               std::span<const std::uint32_t> excluded)
 {
@@ -128,13 +89,19 @@
         if (service.versionShares.empty())
             return chooseAmong(service, candidates, excluded, nullptr);
 
-        VersionLedger &ledger = ledgerOf(service);
-        const VersionLedger::Entry *picked = pickVersion(ledger, service, candidates, excluded);
+        VersionSplit &split = m_splits.of(service.name, service.versionShares);
+        const std::string *picked = split.pick(
+                [&](const std::string &version) {
+                    return std::ranges::any_of(candidates, [&](std::uint32_t replica) {
+                        return isEligible(service, replica, excluded, &version);
+                    });
+                },
+                m_random.engine());
         if (!picked)
             return std::nullopt;
-        const auto chosen = chooseAmong(service, candidates, excluded, &picked->version);
+        const auto chosen = chooseAmong(service, candidates, excluded, picked);
         if (chosen)
-            ledger.charge(*picked);
+            split.charge(*picked);
         return chosen;
     }
 
@@ -156,43 +123,7 @@
     RandomSource m_random;
 
 private:
-    VersionLedger &ledgerOf(const ServiceRouting &service)
-    {
-        auto found = std::ranges::find(m_ledgers, service.name, &VersionLedger::service);
-        if (found == m_ledgers.end())
-            found = m_ledgers.insert(found, {service.name, {}});
-        if (!found->matches(service.versionShares))
-            found->reset(service.versionShares);
-        return *found;
-    }
-
-    /// Random by share, corrected by what each version got before; only versions that can serve.
-    const VersionLedger::Entry *pickVersion(const VersionLedger &ledger,
-                                            const ServiceRouting &service,
-                                            std::span<const std::uint32_t> candidates,
-                                            std::span<const std::uint32_t> excluded)
-    {
-        const VersionLedger::Entry *best = nullptr;
-        const VersionLedger::Entry *drawn = nullptr;
-        double weights = 0;
-        for (const VersionLedger::Entry &entry : ledger.entries) {
-            const bool canServe =
-                    entry.share > 0 && std::ranges::any_of(candidates, [&](std::uint32_t replica) {
-                        return isEligible(service, replica, excluded, &entry.version);
-                    });
-            if (!canServe)
-                continue;
-            if (!best || entry.credit > best->credit)
-                best = &entry;
-            const double weight = std::max(0.0, entry.share * ShareHorizon + entry.credit);
-            weights += weight;
-            if (weight > 0 && m_random.unit() * weights < weight)
-                drawn = &entry;
-        }
-        return drawn ? drawn : best;
-    }
-
-    std::vector<VersionLedger> m_ledgers;
+    VersionSplits m_splits;
 };
 
 class RandomChoice final : public SharedChoice
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -1,4 +1,5 @@
 #include <geraniumcart/service_call.h>
+#include <geraniumcart/sub_request.h>
 
 #include <algorithm>
 #include <utility>
@@ -98,6 +99,9 @@
     for (const auto &[id, attempt] : std::exchange(m_attempts, {})) {
         m_context.transport.cancel(id);
         attempt.upstream->noteEnded();
+        const TimePoint now = m_context.timers.now();
+        if (AnswerEvidence *evidence = evidenceOf(*attempt.upstream))
+            evidence->addCancelled(now - attempt.sentAt, attempt.upstream->isCold(now));
     }
 }
 
@@ -147,7 +151,7 @@
         return Dispatch::NoUpstream;
     const TimePoint now = m_context.timers.now();
     const std::shared_ptr<Upstream> upstream = m_context.choice.choose(
-            upstreams, now, [this, now](const Upstream &u) { return mayUse(u, now); });
+            *m_spec.service, now, [this, now](const Upstream &u) { return mayUse(u, now); });
     if (!upstream) {
         // Looked for again every few milliseconds; the first time tells enough.
         if (!std::exchange(m_wasWithoutRoom, true))
@@ -270,6 +274,8 @@
         attempt.upstream->noteAnswer(now, now - attempt.sentAt);
         if (m_spec.hedging)
             m_spec.hedging->observe(now - attempt.sentAt);
+        if (AnswerEvidence *evidence = evidenceOf(*attempt.upstream))
+            evidence->addGood(now - attempt.sentAt, attempt.upstream->isCold(now));
         if (isOpen()) {
             finish({std::move(reply), CallFailure::Unknown, false});
             if (lowestLatency(m_spec.service->upstreams) > CancelAbove)
@@ -279,6 +285,8 @@
     }
     note(TraceStep::FailureReply, attempt.upstream.get());
     attempt.upstream->noteFailure(now);
+    if (AnswerEvidence *evidence = evidenceOf(*attempt.upstream))
+        evidence->addBad();
     if (!isOpen())
         return;
     if (m_spec.acceptsFailureReply)
@@ -297,11 +305,25 @@
         --m_mayHaveRun;
         --m_arrivals;
         std::erase(m_tried, attempt.upstream.get());
+    } else if (AnswerEvidence *evidence = evidenceOf(*attempt.upstream)) {
+        evidence->addBad();
     }
     if (isOpen())
         continueAfterFailure();
 }
 
+AnswerEvidence *ServiceCall::evidenceOf(const Upstream &upstream) const
+{
+    const VersionDivision &division = m_spec.service->division;
+    const auto &evidence =
+            upstream.version() == division.version ? division.evidence : division.othersEvidence;
+    if (!evidence)
+        return nullptr;
+    const RequestKind kind =
+            m_spec.kind == RouteKind::Idempotent ? RequestKind::Search : RequestKind::Book;
+    return &evidence->routes[static_cast<std::size_t>(kind)];
+}
+
 void ServiceCall::continueAfterFailure()
 {
     if (m_spec.kind == RouteKind::AtMostOnce && mayHaveRun()) {
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -24,6 +24,9 @@
 /// Spread between daemons, so that they do not all pick the same searcher of two equal ones.
 constexpr double ChoiceSpread = 0.3;
 
+/// Stands for all versions but the one that a service moves to.
+const std::string OtherVersions;
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -68,6 +71,35 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
 }
 
+std::shared_ptr<Upstream>
+UpstreamChoice::choose(const ServiceUpstreams &service, TimePoint now,
+                       const std::function<bool(const Upstream &)> &isUsable)
+{
+    const VersionDivision &division = service.division;
+    if (!division.isDivided())
+        return choose(service.upstreams, now, isUsable);
+    const auto isOfSide = [&division](const Upstream &upstream, const std::string &side) {
+        return (upstream.version() == division.version) == (side == division.version);
+    };
+    VersionSplit &split = m_splits.of(service.profile.name, {{division.version, division.share},
+                                                             {OtherVersions, 1 - division.share}});
+    const std::string *side = split.pick(
+            [&](const std::string &candidate) {
+                return std::ranges::any_of(service.upstreams, [&](const auto &upstream) {
+                    return isOfSide(*upstream, candidate) && isUsable(*upstream);
+                });
+            },
+            m_random);
+    if (!side)
+        return nullptr;
+    const auto chosen = choose(service.upstreams, now, [&](const Upstream &upstream) {
+        return isOfSide(upstream, *side) && isUsable(upstream);
+    });
+    if (chosen)
+        split.charge(*side);
+    return chosen;
+}
+
 std::shared_ptr<Upstream>
 UpstreamChoice::choose(std::span<const std::shared_ptr<Upstream>> candidates, TimePoint now,
                        const std::function<bool(const Upstream &)> &isUsable)
--- a/src/version/rollout.cpp
+++ b/src/version/rollout.cpp
@@ -106,6 +106,10 @@
         return !rule || rule->version != entry.second.rule.version ||
                rule->by != entry.second.rule.by;
     });
+    // Counters start anew with the next move of a service, so that what is held would hide them.
+    std::erase_if(m_evidence, [&](const auto &entry) {
+        return rules.moveFor(entry.second.service) == nullptr;
+    });
     for (const MoveRule &rule : rules.moves) {
         const auto [place, isNew] = m_moves.try_emplace(rule.service);
         Move &move = place->second;
@@ -113,6 +117,8 @@
         if (!isNew)
             continue;
         move.startedAt = m_timers.now();
+        move.dueAt =
+                move.startedAt + std::chrono::duration_cast<Duration>(rule.by - m_timers.wallNow());
         move.share = m_config.unprovenShare;
         move.samples.push_back(sampleOf(move));
     }
@@ -194,7 +200,6 @@
         }
         if (good >= m_config.provingAnswers && now.at - move.startedAt >= m_config.provingTime) {
             move.provenAt = now.at;
-            move.provenWall = m_timers.wallNow();
         }
     }
     move.samples.push_back(std::move(now));
@@ -284,9 +289,14 @@
 {
     if (!move.provenAt || !move.isServedEverywhere)
         return m_config.unprovenShare;
-    const auto total = std::chrono::duration<double>(move.rule.by - move.provenWall);
-    const auto spent = std::chrono::duration<double>(m_timers.wallNow() - move.provenWall);
-    const double usable = total.count() * (1.0 - m_config.endMargin);
+    const Duration hold =
+            std::chrono::duration_cast<Duration>((move.dueAt - move.startedAt) * m_config.holdPart);
+    const TimePoint start = std::max(*move.provenAt, move.startedAt + hold);
+    const auto spent = std::chrono::duration<double>(m_timers.now() - start);
+    const double usable =
+            std::chrono::duration<double>(move.dueAt - start).count() * (1.0 - m_config.endMargin);
+    if (spent.count() < 0)
+        return m_config.unprovenShare;
     if (usable <= 0)
         return 1.0;
     const double part = std::clamp(spent.count() / usable, 0.0, 1.0);
@@ -318,4 +328,29 @@
     return stops;
 }
 
+std::vector<EvidenceRow> Rollout::evidence() const
+{
+    std::vector<EvidenceRow> rows;
+    for (const auto &[key, row] : m_evidence)
+        if (m_moves.contains(row.service))
+            rows.push_back(row);
+    return rows;
+}
+
+std::vector<EvidenceRow> evidenceRows(const std::string &daemon, std::uint64_t incarnation,
+                                      const EvidenceCounters &counters)
+{
+    std::vector<EvidenceRow> rows;
+    for (const auto &[service, byVersion] : counters)
+        for (const auto &[version, evidence] : byVersion)
+            for (const RequestKind route : Routes) {
+                const AnswerEvidence &counter = evidence->routes[static_cast<std::size_t>(route)];
+                EvidenceRow row{daemon, incarnation,    service,       version,
+                                route,  counter.good(), counter.bad(), counter.latencyBuckets()};
+                if (row.good + row.bad > 0)
+                    rows.push_back(std::move(row));
+            }
+    return rows;
+}
+
 } // namespace geraniumcart
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -4,6 +4,7 @@
 
 #include <geraniumcart/invariants.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumcart {
@@ -24,7 +25,7 @@
 bool isSameUpstream(const SearcherRecord &a, const SearcherRecord &b)
 {
     return a.service == b.service && a.address == b.address && a.zone == b.zone &&
-           a.bootTime == b.bootTime;
+           a.version == b.version && a.bootTime == b.bootTime;
 }
 
 } // namespace
@@ -120,6 +121,22 @@
     changed();
 }
 
+void ServingViewBuilder::setDivisions(VersionDivisions divisions)
+{
+    if (divisions == m_divisions)
+        return;
+    m_divisions = std::move(divisions);
+    changed();
+}
+
+bool ServingViewBuilder::hasVersion(const std::string &service, const std::string &version) const
+{
+    return std::ranges::any_of(m_searchers, [&](const auto &searcher) {
+        const SearcherRecord &record = searcher.second.record;
+        return record.service == service && record.version == version && !record.isDraining;
+    });
+}
+
 std::shared_ptr<AttemptBudget> ServingViewBuilder::makeBudget() const
 {
     const double reserve = m_retries.extra * PlannedAllowance / (m_senders + JoiningDaemons);
@@ -149,7 +166,12 @@
             auto &budget = m_budgets[name];
             if (!budget)
                 budget = makeBudget();
-            view.services[name] = {profile, budget, {}};
+            const auto division = m_divisions.find(name);
+            view.services[name] = {profile,
+                                   budget,
+                                   {},
+                                   division == m_divisions.end() ? VersionDivision()
+                                                                 : division->second};
         }
         for (const Route &route : m_routes->routes) {
             auto &hedging = m_hedging[route.name];
@@ -162,7 +184,8 @@
     for (const auto &[instanceId, entry] : m_searchers) {
         const auto service = view.services.find(entry.record.service);
         if (service == view.services.end() || entry.record.isDraining ||
-            m_zonesOut.contains(entry.record.zone))
+            m_zonesOut.contains(entry.record.zone) ||
+            !service->second.division.hasShare(entry.record.version))
             continue;
         service->second.upstreams.push_back(entry.upstream);
     }
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -280,3 +280,26 @@
         return isServed && site.a.heads().size() == before;
     }));
 }
+
+// Guards against a move that is not reported, or that leaves requests on searchers that stop.
+TEST_CASE("an ordered version gets all requests and the store is told")
+{
+    Site site;
+    site.store.put("rollouts", "desk",
+                   {{"service", "desk"}, {"target_version", "v2"}, {"duration_s", 5}});
+    site.store.put("servers", "b", site.b.entry("desk", "ready", "v2"));
+    const auto stateOf = [&site] {
+        const json::value status = site.store.status("rollouts", "desk");
+        return status.is_object() ? std::string(status.at("state").as_string()) : std::string();
+    };
+    CHECK(site.eventually([&] { return stateOf() == "in_service"; }));
+    CHECK(site.eventually([&] {
+        site.request("/desk/1");
+        return stateOf() == "completed";
+    }));
+    CHECK(site.store.status("rollouts", "desk").at("target_version") == "v2");
+    const std::size_t before = site.a.heads().size();
+    for (int i = 0; i < 6; ++i)
+        CHECK(site.request("/desk/1").result_int() == 200);
+    CHECK(site.a.heads().size() == before);
+}
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -41,6 +41,58 @@
     }
 }
 
+TEST_CASE("an order for a rollout is read with what was recorded of it")
+{
+    const auto [failure, spec, status, isOrder, state] =
+            GENERATE(table<const char *, const char *, const char *, bool, RolloutState>({
+                    {"a new order counts as begun",
+                     R"({"service":"a","target_version":"v2","duration_s":12})", "null", true,
+                     RolloutState::Ordered},
+                    {"the record of another version counts",
+                     R"({"service":"a","target_version":"v3","duration_s":12})",
+                     R"({"state":"completed","target_version":"v2"})", true, RolloutState::Ordered},
+                    {"a finished rollout begins anew",
+                     R"({"service":"a","target_version":"v2","duration_s":12})",
+                     R"({"state":"rolled_back","target_version":"v2","due_ms":5000})", true,
+                     RolloutState::RolledBack},
+                    {"an order without a version is taken", R"({"service":"a","duration_s":12})",
+                     "null", false, RolloutState::Ordered},
+                    {"an order without time is taken",
+                     R"({"service":"a","target_version":"v2","duration_s":0})", "null", false,
+                     RolloutState::Ordered},
+                    {"text is taken as an order", R"("v2")", "null", false, RolloutState::Ordered},
+            }));
+    INFO(failure);
+    std::string reason;
+    const json::value specValue = json::parse(spec);
+    const json::value statusValue = json::parse(status);
+    const platform::ObjectView object{"a", 7, false, &specValue, &statusValue};
+    const auto order = platform::parseRollout(platform::rolloutText(object), reason);
+    REQUIRE(order.has_value() == isOrder);
+    CHECK(reason.empty() == isOrder);
+    if (!order)
+        return;
+    CHECK(order->state == state);
+    CHECK(order->duration == 12s);
+    CHECK(order->dueAt.has_value() == (state == RolloutState::RolledBack));
+}
+
+TEST_CASE("a record of a rollout is conditional and is read back as written")
+{
+    const auto state =
+            GENERATE(RolloutState::InService, RolloutState::Completed, RolloutState::RolledBack);
+    const RolloutOrder order{"a", "v2", 12s, state, WallTime(5s), 41};
+    const json::value body = json::parse(platform::rolloutRecord(order));
+    CHECK(body.at("meta").at("revision").to_number<int>() == 41);
+    const json::value spec{{"service", "a"}, {"target_version", "v2"}, {"duration_s", 12}};
+    const platform::ObjectView object{"a", 42, false, &spec, &body.at("status")};
+    std::string reason;
+    const auto read = platform::parseRollout(platform::rolloutText(object), reason);
+    REQUIRE(read);
+    CHECK(read->state == state);
+    CHECK(read->dueAt == order.dueAt);
+}
+
 TEST_CASE("routes are decoded with their kind, bounds and targets")
 {
     std::string reason;
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -289,3 +289,50 @@
     if (row.moves > 0)
         CHECK(rollout.statuses().front().state == row.expected);
 }
+
+// Guards against counts of an earlier move that hide those of the next one, which start at 0.
+TEST_CASE("a second move of a service is judged on its own answers")
+{
+    ManualTimerService timers;
+    Rollout rollout({}, timers);
+    const auto answer = [&](std::uint64_t good, std::uint64_t bad) {
+        rollout.takeEvidence({"d0", 1, "lend-front", "v42", RequestKind::Search, good, bad, {}});
+        rollout.takeEvidence({"d0", 1, "lend-front", "v41", RequestKind::Search, 20 * good, 0, {}});
+        timers.advance(TickInterval);
+        rollout.tick();
+    };
+    RuleSet rules;
+    rules.moves = {{"lend-front", "v42", timers.wallNow() + 60s, {}}};
+    rollout.configure(rules);
+    answer(5000, 0);
+    rollout.configure({});
+    rules.moves[0].by = timers.wallNow() + 120s;
+    rollout.configure(rules);
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        answer(10 * i, 10 * i);
+    CHECK(rollout.statuses().front().state == MoveState::TakenBack);
+}
+
+// Guards against a step of the wall clock that ends a move at once or never.
+TEST_CASE("a step of the wall clock does not change the time that a move has left")
+{
+    const auto [failure, step] = GENERATE(table<const char *, std::chrono::seconds>({
+            {"a step ahead ends the move at once", 60s},
+            {"a step back stops the move", -60s},
+    }));
+    INFO(failure);
+    ManualTimerService timers;
+    RolloutConfig config;
+    config.provingAnswers = 0;
+    Rollout rollout(config, timers);
+    RuleSet rules;
+    rules.moves = {{"lend-front", "v42", timers.wallNow() + 20s, {}}};
+    rollout.configure(rules);
+    timers.shiftWall(step);
+    for (Duration spent{}; spent < 10s; spent += TickInterval) {
+        timers.advance(TickInterval);
+        rollout.tick();
+    }
+    CHECK(rollout.shares("lend-front").front().share > 0.3);
+    CHECK(rollout.shares("lend-front").front().share < 0.8);
+}
--- a/tests/support/platform_standins.h
+++ b/tests/support/platform_standins.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <cstdint>
@@ -30,7 +31,7 @@
     std::string address() const { return m_server.address(); }
     void put(const std::string &kind, const std::string &name, boost::json::object spec)
     {
-        m_objects[kind][name] = {++m_revision, false, std::move(spec)};
+        m_objects[kind][name] = {++m_revision, false, std::move(spec), nullptr};
     }
     void remove(const std::string &kind, const std::string &name)
     {
@@ -39,6 +40,11 @@
         object.revision = ++m_revision;
     }
     void loseHistory() { m_firstRevision = ++m_revision; }
+    /// What was last recorded on an object; null before.
+    boost::json::value status(const std::string &kind, const std::string &name)
+    {
+        return m_objects[kind][name].status;
+    }
     int calls() const { return static_cast<int>(m_server.heads.size()); }
 
     Mode mode = Mode::Serving;
@@ -49,6 +55,7 @@
         std::uint64_t revision = 0;
         bool isDeleted = false;
         boost::json::object spec;
+        boost::json::value status;
     };
 
     static std::string http(int status, const std::string &body)
@@ -67,7 +74,9 @@
     }
     static boost::json::object encode(const std::string &name, const Object &object)
     {
-        return {{"meta", {{"name", name}, {"revision", object.revision}}}, {"spec", object.spec}};
+        return {{"meta", {{"name", name}, {"revision", object.revision}}},
+                {"spec", object.spec},
+                {"status", object.status}};
     }
 
     RawAnswer answer(const std::string &head)
@@ -76,6 +85,8 @@
             return {""};
         if (mode == Mode::Busy)
             return {http(503, "{}")};
+        if (head.starts_with("PUT "))
+            return {recordStatus(head)};
         const std::size_t start = head.find("/objects/") + 9;
         const std::string kind = head.substr(start, head.find_first_of("? ", start) - start);
         const std::string since = parameter(head, "watch");
@@ -105,6 +116,25 @@
         return {"", RawAnswer::Then::Keep, whole, std::chrono::milliseconds(100)};
     }
 
+    /// PUT /api/objects/KIND/NAME/status, on condition of the object's revision.
+    std::string recordStatus(const std::string &head)
+    {
+        const std::size_t start = head.find("/objects/") + 9;
+        const std::size_t slash = head.find('/', start);
+        const std::size_t end = head.find("/status ", slash);
+        if (slash == std::string::npos || end == std::string::npos)
+            return http(400, "{}");
+        const std::string kind = head.substr(start, slash - start);
+        const std::string name = head.substr(slash + 1, end - slash - 1);
+        const boost::json::value body = boost::json::parse(head.substr(head.find("\r\n\r\n") + 4));
+        Object &object = m_objects[kind][name];
+        if (body.at("meta").at("revision").to_number<std::uint64_t>() != object.revision)
+            return http(409, boost::json::serialize(encode(name, object)));
+        object.status = body.at("status");
+        object.revision = ++m_revision;
+        return http(200, boost::json::serialize(encode(name, object)));
+    }
+
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::uint64_t m_revision = 10;
     std::uint64_t m_firstRevision = 0;
@@ -124,10 +154,11 @@
     {
     }
 
-    boost::json::object entry(const std::string &service, const std::string &state = "ready") const
+    boost::json::object entry(const std::string &service, const std::string &state = "ready",
+                              const std::string &version = "v1") const
     {
         return {{"service", service},  {"address", m_server.address()},
-                {"zone", "z"},         {"config_version", "v1"},
+                {"zone", "z"},         {"config_version", version},
                 {"slots", 2},          {"state", state},
                 {"warmup_left_ms", 0}, {"sequence_number", 1}};
     }
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -2,12 +2,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <functional>
 #include <istream>
 #include <memory>
@@ -17,6 +20,16 @@
 
 namespace geraniumcart::test {
 
+/// Value of a header field in @p head, or nothing.
+inline std::string headerValue(const std::string &head, const std::string &name)
+{
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t start = at + name.size() + 4;
+    return head.substr(start, head.find("\r\n", start) - start);
+}
+
 /// What a server does with one request.
 struct RawAnswer
 {
@@ -28,7 +41,7 @@
 };
 
 /// Answers requests with bytes that the test gives, well-formed or not. Runs on the test's
-/// io_context; requests have no body.
+/// io_context. The script gets the head of a request and, with it, its body.
 class RawServer
 {
 public:
@@ -49,7 +62,7 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
-    /// Heads of all requests so far, in order.
+    /// Heads of all requests so far, in order, each with its body.
     std::vector<std::string> heads;
     int connections = 0;
 
@@ -87,8 +100,25 @@
                         return;
                     std::string head(size, '\0');
                     std::istream(&session->buffer).read(head.data(), static_cast<long>(size));
-                    heads.push_back(head);
-                    answer(session, m_script(head));
+                    readBody(session, std::move(head));
+                });
+    }
+
+    void readBody(const SessionPtr &session, std::string head)
+    {
+        const std::size_t size =
+                std::strtoul(headerValue(head, "Content-Length").c_str(), nullptr, 10);
+        const std::size_t missing = size - std::min(size, session->buffer.size());
+        boost::asio::async_read(
+                session->socket, session->buffer, boost::asio::transfer_exactly(missing),
+                [this, session, size, head = std::move(head)](boost::system::error_code error,
+                                                              std::size_t) mutable {
+                    if (error)
+                        return;
+                    std::string body(size, '\0');
+                    std::istream(&session->buffer).read(body.data(), static_cast<long>(size));
+                    heads.push_back(head + body);
+                    answer(session, m_script(heads.back()));
                 });
     }
 
@@ -117,14 +147,4 @@
     Script m_script;
 };
 
-/// Value of a header field in @p head, or nothing.
-inline std::string headerValue(const std::string &head, const std::string &name)
-{
-    const std::size_t at = head.find("\r\n" + name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const std::size_t start = at + name.size() + 4;
-    return head.substr(start, head.find("\r\n", start) - start);
-}
-
 } // namespace geraniumcart::test
