Count store calls, connections by state and queue times; bound listed daemons

Listed daemons hold a connection to every searcher, and their number was not bounded by what searchers take: selectEntries lists at most nine tenths of the smallest limit, the largest daemons first, spread over zones, and keeps the others' places when one leaves.

--- a/include/geraniumcart/entry_selection.h
+++ b/include/geraniumcart/entry_selection.h
@@ -13,7 +13,9 @@
 /// otherwise. Answers the light load of a large fleet: a request over many shards is served faster
 /// by a large daemon, and few daemons keep their connections to searchers in use. A few busy
 /// daemons are left out; a crowd that makes many of them busy is answered by sending callers to
-/// all.
-std::vector<EntryAddress> selectEntries(std::span<const Member> members);
+/// all. Each daemon that callers use holds a connection to every searcher, so that their number is
+/// bounded by what searchers take; a large fleet lists its largest daemons, spread over zones.
+/// @param mostListed daemons whose connections the searchers can hold
+std::vector<EntryAddress> selectEntries(std::span<const Member> members, std::size_t mostListed);
 
 } // namespace geraniumcart
--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -5,6 +5,7 @@
 #include <geraniumcart/peer_messages.h>
 #include <geraniumcart/timer_service.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,6 +71,8 @@
     void onPush(const PeerObjectPush &push);
 
     bool isWatching() const { return m_isWatching; }
+    /// Time since the store or a watcher was last heard; all of the daemon's life before that.
+    Duration newsAge() const { return m_timers.now() - std::max(m_lastBeat, m_lastContact); }
     /// Hash of all objects that are not gone.
     std::uint64_t digest() const { return m_digest; }
 
--- a/include/geraniumcart/metrics.h
+++ b/include/geraniumcart/metrics.h
@@ -82,6 +82,8 @@
     /// Notes one answered request. @p coverage is a share of documents, 0 to 1.
     void recordRequest(std::string_view tenant, std::string_view className, Duration latency,
                        double coverage);
+    /// Notes how long a request waited for a searcher with room.
+    void recordQueueTime(std::string_view tenant, std::string_view className, Duration time);
     /// In order of tenant and class. Quantiles are interpolated inside a bin, which is 12% wide.
     std::vector<SeriesSummary> summaries() const;
     /// Everything in Prometheus text format.
--- a/include/geraniumcart/request_trace.h
+++ b/include/geraniumcart/request_trace.h
@@ -3,6 +3,7 @@
 #include <geraniumcart/timer_service.h>
 #include <geraniumcart/upstream.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -67,6 +68,10 @@
     void note(TimePoint now, TraceStep step, const std::string &service,
               const Upstream *upstream = nullptr);
     const std::vector<TraceEntry> &entries() const { return m_entries; }
+    /// A part of the request was sent for the first time, this long after it was ready to be.
+    void noteQueueTime(Duration time) { m_queueTime = std::max(m_queueTime, time); }
+    /// Longest wait of a part for a searcher with room.
+    Duration queueTime() const { return m_queueTime; }
     /// Steps that found no room.
     std::uint32_t omitted() const { return m_omitted; }
 
@@ -74,6 +79,7 @@
     const TimePoint m_arrival;
     std::vector<TraceEntry> m_entries;
     std::uint32_t m_omitted = 0;
+    Duration m_queueTime{};
 };
 
 /// Chooses which requests are logged in full: all that ended badly, late or partial, and a sample
--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -139,6 +139,7 @@
     std::vector<const Upstream *> m_tried;
     std::uint32_t m_mayHaveRun = 0;
     std::uint32_t m_sends = 0;
+    TimePoint m_startedAt{};
     /// Sends that may have reached a searcher.
     std::uint32_t m_arrivals = 0;
     bool m_wasRefused = false;
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -15,6 +15,9 @@
 /// that callers are sent to stays under the searcher's limit, also while a few join.
 std::uint32_t connectionShare(const ServiceProfile &profile, std::uint32_t listed);
 
+/// Daemons that may be listed so that each can hold a connection to every searcher of @p routes.
+std::size_t mostListedDaemons(const RouteTable &routes);
+
 /// Least time between two requests of one daemon to one cold searcher of @p profile. The sum over
 /// all daemons stays under what the searcher bears. Zero sets no bound.
 Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders);
--- a/src/connection/upstream_connections.cpp
+++ b/src/connection/upstream_connections.cpp
@@ -239,6 +239,15 @@
     drop(line, line.isOpen ? ExchangeFailure::TimedOut : ExchangeFailure::NotSent);
 }
 
+LinkStates UpstreamConnections::states() const
+{
+    LinkStates states;
+    for (const auto &[upstream, lines] : m_lines)
+        for (const auto &line : lines)
+            ++(!line->isOpen ? states.opening : line->exchange ? states.busy : states.idle);
+    return states;
+}
+
 void UpstreamConnections::disarm(TimerId &timer)
 {
     if (timer != 0)
--- a/src/connection/upstream_connections_p.h
+++ b/src/connection/upstream_connections_p.h
@@ -21,6 +21,15 @@
     std::uint64_t timedOut = 0;
 };
 
+/// One worker's connections to searchers by state.
+struct LinkStates
+{
+    std::uint32_t opening = 0;
+    std::uint32_t idle = 0;
+    /// A request is under way.
+    std::uint32_t busy = 0;
+};
+
 /// All connections of one worker to searchers.
 class UpstreamConnections final : public UpstreamTransport, public UpstreamLinkListener
 {
@@ -39,6 +48,7 @@
     /// Sets for how long connections stay open without a request.
     void setIdleTime(Duration time);
     const LinkCounts &counts() const { return m_counts; }
+    LinkStates states() const;
 
 private:
     struct Exchange
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -200,6 +200,7 @@
               {"shards", call.route->shards.size()},
               {"missingShards", answer.missingShards},
               {"took", took},
+              {"queued", call.trace->queueTime()},
               {"objective", call.route->latencyObjective},
               {"timeout", call.route->timeout},
               {"stepsOmitted", call.trace->omitted()},
@@ -223,6 +224,7 @@
                                                           static_cast<double>(shards);
     if (answer.status == RoutedStatus::Reply || answer.status == RoutedStatus::Merged)
         m_stats.recordRequest(call.route->host, call.route->name, took, coverage);
+    m_stats.recordQueueTime(call.route->host, call.route->name, call.trace->queueTime());
     m_stats.add(counterOf(answer));
     call.done(std::move(answer));
 }
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -57,6 +57,29 @@
 constexpr std::chrono::milliseconds ProbeTimeout{900};
 constexpr std::chrono::milliseconds SuspicionTimeout{1200};
 
+/// States of connections that one thread writes and others read.
+class SharedLinkStates
+{
+public:
+    void set(const LinkStates &states)
+    {
+        m_opening.store(states.opening, std::memory_order_relaxed);
+        m_idle.store(states.idle, std::memory_order_relaxed);
+        m_busy.store(states.busy, std::memory_order_relaxed);
+    }
+    void addTo(LinkStates &sum) const
+    {
+        sum.opening += m_opening.load(std::memory_order_relaxed);
+        sum.idle += m_idle.load(std::memory_order_relaxed);
+        sum.busy += m_busy.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::uint32_t> m_opening{0};
+    std::atomic<std::uint32_t> m_idle{0};
+    std::atomic<std::uint32_t> m_busy{0};
+};
+
 /// What the requests of one worker use.
 struct WorkerPart
 {
@@ -74,6 +97,8 @@
     UpstreamChoice choice;
     CallCounts counts;
     Gateway gateway;
+    /// Connections by state as of the last export; read by the thread that serves metrics.
+    SharedLinkStates links;
     std::optional<LoopLag> lag;
     /// Searchers to which a connection was opened ahead of need.
     std::unordered_set<std::string> warmed;
@@ -133,6 +158,7 @@
 
     std::string metricsText() const;
     void exportCounts(WorkerPart &part, ExportedCounts &exported);
+    void exportNewsAge();
     void onView();
     void warmUp(WorkerPart &part);
     void becomeReady();
@@ -152,6 +178,8 @@
     AsioTimerService m_timers{m_context};
     ServingViewPublisher m_views;
     Stats m_stats;
+    StoreCallCounts m_storeCalls;
+    std::atomic<Duration::rep> m_newsAge{0};
     ServingViewBuilder m_builder;
     WorkerPool m_workers;
     std::vector<std::unique_ptr<WorkerPart>> m_parts;
@@ -168,6 +196,8 @@
     std::optional<PeerListener> m_peers;
     std::optional<FleetRelay> m_relay;
     std::unique_ptr<FleetSource> m_source;
+    /// Bound on listed daemons that the entries in force were chosen by.
+    std::size_t m_mostListed = 0;
     int m_busyWorkers = 0;
     bool m_isMembersDue = false;
     bool m_isReadyDue = false;
@@ -240,7 +270,8 @@
             m_settings.name, m_timers, *m_network,
             FleetRelay::Callbacks{[this](const StoredObject &object) { m_source->apply(object); },
                                   [this](bool isWatching) { m_source->setWatching(isWatching); }});
-    m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder, m_rollouts);
+    m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder, m_rollouts,
+                                          m_storeCalls);
     m_builder.setObserver([this] { onView(); });
     return true;
 }
@@ -271,6 +302,7 @@
         });
         part->lag->start();
     }
+    exportNewsAge();
     m_relay->start();
     m_membership->start();
     m_workers.start();
@@ -303,6 +335,9 @@
 {
     for (const auto &part : m_parts)
         asio::post(part->worker.context, [this, part = part.get()] { warmUp(*part); });
+    const ServingViewPin view = m_views.pin();
+    if (view->routes && mostListedDaemons(*view->routes) != m_mostListed)
+        onMembersChanged();
     if (m_isReadyDue || !m_builder.hasRoutes() || !m_builder.hasSearchers())
         return;
     m_isReadyDue = true;
@@ -348,7 +383,12 @@
 
 std::string GatewayDaemon::Parts::metricsText() const
 {
-    return m_stats.prometheusText() + gatewayGauges(*m_views.pin(), m_timers.now());
+    GatewayHealth health;
+    for (const auto &part : m_parts)
+        part->links.addTo(health.links);
+    health.newsAge = Duration(m_newsAge.load(std::memory_order_relaxed));
+    return m_stats.prometheusText() +
+           gatewayGauges(*m_views.pin(), health, m_storeCalls, m_timers.now());
 }
 
 void GatewayDaemon::Parts::exportCounts(WorkerPart &part, ExportedCounts &exported)
@@ -362,10 +402,17 @@
     m_stats.add(Counter::ConnectionsOpened, links.opened - exported.links.opened);
     m_stats.add(Counter::SilentConnections, links.timedOut - exported.links.timedOut);
     exported = {calls, links};
+    part.links.set(part.connections.states());
     part.worker.timers.schedule(ExportInterval,
                                 [this, &part, &exported] { exportCounts(part, exported); });
 }
 
+void GatewayDaemon::Parts::exportNewsAge()
+{
+    m_newsAge.store(m_relay->newsAge().count(), std::memory_order_relaxed);
+    m_timers.schedule(ExportInterval, [this] { exportNewsAge(); });
+}
+
 void GatewayDaemon::Parts::onBusy(bool isBusy)
 {
     m_busyWorkers += isBusy ? 1 : -1;
@@ -387,7 +434,9 @@
     const auto present = std::count_if(members.begin(), members.end(), [](const Member &member) {
         return isPresent(member.state);
     });
-    m_builder.setEntries(selectEntries(members), static_cast<std::uint32_t>(present));
+    const ServingViewPin view = m_views.pin();
+    m_mostListed = view->routes ? mostListedDaemons(*view->routes) : members.size();
+    m_builder.setEntries(selectEntries(members, m_mostListed), static_cast<std::uint32_t>(present));
 }
 
 void GatewayDaemon::Parts::onPeerMessage(const std::string &peer, PeerMessage message)
--- a/src/process/gateway_daemon_p.h
+++ b/src/process/gateway_daemon_p.h
@@ -8,6 +8,7 @@
 #include <geraniumcart/fleet_rollouts.h>
 #include <geraniumcart/gateway_settings.h>
 #include <geraniumcart/serving_view.h>
+#include <geraniumcart/store_calls.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -39,11 +40,10 @@
     virtual ~GatewayPlatform() = default;
     virtual UpstreamHeaderNames upstreamHeaders() const = 0;
     virtual CallerHeaderNames callerHeaders() const = 0;
-    /// @param sink, listener live longer than the source
-    virtual std::unique_ptr<FleetSource> makeFleetSource(boost::asio::io_context &context,
-                                                         TimerService &timers, FleetFactSink &sink,
-                                                         FleetListener &listener,
-                                                         RolloutListener &rollouts) = 0;
+    /// All arguments live longer than the source.
+    virtual std::unique_ptr<FleetSource>
+    makeFleetSource(boost::asio::io_context &context, TimerService &timers, FleetFactSink &sink,
+                    FleetListener &listener, RolloutListener &rollouts, StoreCallCounts &calls) = 0;
     /// Serves callers that ask which daemons to use.
     virtual std::unique_ptr<CallerHandler>
     makeDirectoryHandler(const ServingViewPublisher &views) = 0;
--- a/src/process/gateway_metrics.cpp
+++ b/src/process/gateway_metrics.cpp
@@ -3,6 +3,8 @@
 #include "process/log_p.h"
 
 #include <algorithm>
+#include <initializer_list>
+#include <utility>
 
 namespace geraniumcart {
 
@@ -13,17 +15,40 @@
     text += "geraniumcart_" + name + labels + ' ' + std::to_string(value) + '\n';
 }
 
-std::string label(const char *name, const std::string &value)
+/// Names of services are identifiers and the rest are constants, so nothing has to be escaped.
+std::string labels(std::initializer_list<std::pair<const char *, std::string>> pairs)
 {
-    // Names of services are identifiers, so nothing has to be escaped.
-    return std::string("{") + name + "=\"" + value + "\"}";
+    std::string text = "{";
+    for (const auto &[name, value] : pairs)
+        text += std::string(text.size() > 1 ? "," : "") + name + "=\"" + value + '"';
+    return text + '}';
+}
+
+std::string storeCalls(const StoreCallCounts &calls)
+{
+    std::string text;
+    for (std::size_t kind = 0; kind < StoredKinds; ++kind)
+        for (std::size_t result = 0; result < StoreCallResults; ++result) {
+            const auto storedKind = static_cast<StoredKind>(kind);
+            const auto callResult = static_cast<StoreCallResult>(result);
+            gauge(text, "store_calls_total",
+                  labels({{"kind", toString(storedKind)}, {"result", toString(callResult)}}),
+                  static_cast<double>(calls.value(storedKind, callResult)));
+        }
+    return text;
 }
 
 } // namespace
 
-std::string gatewayGauges(const ServingView &view, TimePoint now)
+std::string gatewayGauges(const ServingView &view, const GatewayHealth &health,
+                          const StoreCallCounts &calls, TimePoint now)
 {
-    std::string text;
+    std::string text = storeCalls(calls);
+    for (const auto &[state, count] :
+         {std::pair("opening", health.links.opening), std::pair("idle", health.links.idle),
+          std::pair("busy", health.links.busy)})
+        gauge(text, "searcher_connections", labels({{"state", state}}), count);
+    gauge(text, "news_age_seconds", "", std::chrono::duration<double>(health.newsAge).count());
     gauge(text, "configuration_version", "",
           view.routes ? static_cast<double>(view.routes->version) : 0);
     gauge(text, "view_age_seconds", "",
@@ -39,11 +64,12 @@
         const auto cold =
                 std::count_if(service.upstreams.begin(), service.upstreams.end(),
                               [now](const auto &upstream) { return upstream->isCold(now); });
-        gauge(text, "searchers", label("service", name),
+        gauge(text, "searchers", labels({{"service", name}}),
               static_cast<double>(service.upstreams.size()));
-        gauge(text, "searchers_suspected", label("service", name), static_cast<double>(suspects));
-        gauge(text, "searchers_cold", label("service", name), static_cast<double>(cold));
-        gauge(text, "attempt_budget_left", label("service", name), service.budget->left());
+        gauge(text, "searchers_suspected", labels({{"service", name}}),
+              static_cast<double>(suspects));
+        gauge(text, "searchers_cold", labels({{"service", name}}), static_cast<double>(cold));
+        gauge(text, "attempt_budget_left", labels({{"service", name}}), service.budget->left());
     }
     return text;
 }
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -39,6 +39,12 @@
 using LatencyAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using CoverageAxis = histogram::axis::regular<double>;
 
+std::uint64_t nanoseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::nanoseconds>(duration).count());
+}
+
 LatencyAxis latencyAxis()
 {
     return {LatencyBins, LowestLatency, HighestLatency};
@@ -55,6 +61,8 @@
 {
     histogram::histogram<std::tuple<LatencyAxis>, Storage> latency =
             histogram::make_histogram_with(Storage(), latencyAxis());
+    histogram::histogram<std::tuple<LatencyAxis>, Storage> queueTime =
+            histogram::make_histogram_with(Storage(), latencyAxis());
     histogram::histogram<std::tuple<CoverageAxis>, Storage> coverage =
             histogram::make_histogram_with(Storage(), coverageAxis());
 };
@@ -62,19 +70,23 @@
 struct ThreadHistograms : Histograms<AtomicCounts>
 {
     std::atomic<std::uint64_t> latencySum{0};
+    std::atomic<std::uint64_t> queueTimeSum{0};
     std::atomic<std::uint64_t> coverageSum{0};
 };
 
 struct MergedHistograms : Histograms<Counts>
 {
     std::uint64_t latencySum = 0;
+    std::uint64_t queueTimeSum = 0;
     std::uint64_t coverageSum = 0;
 
     void add(const ThreadHistograms &part)
     {
         addCounts(latency, part.latency);
+        addCounts(queueTime, part.queueTime);
         addCounts(coverage, part.coverage);
         latencySum += part.latencySum.load(std::memory_order_relaxed);
+        queueTimeSum += part.queueTimeSum.load(std::memory_order_relaxed);
         coverageSum += part.coverageSum.load(std::memory_order_relaxed);
     }
 
@@ -372,14 +384,19 @@
     const Duration positive = std::max(latency, Duration::zero());
     histograms.latency(std::chrono::duration<double>(positive).count());
     histograms.coverage(share);
-    histograms.latencySum.fetch_add(
-            static_cast<std::uint64_t>(
-                    std::chrono::duration_cast<std::chrono::nanoseconds>(positive).count()),
-            std::memory_order_relaxed);
+    histograms.latencySum.fetch_add(nanoseconds(positive), std::memory_order_relaxed);
     histograms.coverageSum.fetch_add(static_cast<std::uint64_t>(share * CoverageUnits),
                                      std::memory_order_relaxed);
 }
 
+void Stats::recordQueueTime(std::string_view tenant, std::string_view className, Duration time)
+{
+    ThreadHistograms &histograms = m_series->obtain(m_series->placeOf(tenant, className));
+    const Duration positive = std::max(time, Duration::zero());
+    histograms.queueTime(std::chrono::duration<double>(positive).count());
+    histograms.queueTimeSum.fetch_add(nanoseconds(positive), std::memory_order_relaxed);
+}
+
 std::vector<SeriesSummary> Stats::summaries() const
 {
     std::vector<SeriesSummary> summaries;
@@ -425,6 +442,11 @@
         writeHistogram(writer, "request_duration_seconds", labelsOf(series),
                        series.histograms.latency, BinsPerBucket,
                        static_cast<double>(series.histograms.latencySum) * 1e-9);
+    writer.type("request_queue_seconds", "histogram");
+    for (const MergedSeries &series : merged)
+        writeHistogram(writer, "request_queue_seconds", labelsOf(series),
+                       series.histograms.queueTime, BinsPerBucket,
+                       static_cast<double>(series.histograms.queueTimeSum) * 1e-9);
     writer.type("request_coverage", "histogram");
     for (const MergedSeries &series : merged)
         writeHistogram(writer, "request_coverage", labelsOf(series), series.histograms.coverage, 1,
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -79,8 +79,9 @@
 
 void ServiceCall::start()
 {
+    m_startedAt = m_context.timers.now();
     m_spec.budget->earn(1);
-    const Duration left = m_spec.deadline - m_context.timers.now();
+    const Duration left = m_spec.deadline - m_startedAt;
     m_deadlineTimer = m_context.timers.schedule(left, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onDeadline();
@@ -173,6 +174,8 @@
              : cause == Cause::Hedge ? TraceStep::Hedged
                                      : TraceStep::Retried,
              upstream.get());
+    if (m_sends == 0 && m_spec.trace)
+        m_spec.trace->noteQueueTime(now - m_startedAt);
     m_attempts[id] = {upstream, now, cause == Cause::Hedge};
     m_tried.push_back(upstream.get());
     ++m_sends;
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -63,6 +63,14 @@
     return std::clamp(share, 1U, MostConnections);
 }
 
+std::size_t mostListedDaemons(const RouteTable &routes)
+{
+    std::size_t most = std::numeric_limits<std::size_t>::max();
+    for (const auto &[name, profile] : routes.services)
+        most = std::min(most, static_cast<std::size_t>(profile.maxConnections * PlannedShare));
+    return most;
+}
+
 Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders)
 {
     if (profile.warmUpRate <= 0)
--- a/src/version/entry_selection.cpp
+++ b/src/version/entry_selection.cpp
@@ -1,8 +1,11 @@
 #include <geraniumcart/entry_selection.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <map>
 #include <set>
 #include <string>
 
@@ -39,6 +42,30 @@
     return large.size() < MinLarge || zones.size() < MinZones ? members : large;
 }
 
+/// The first @p most of @p members in rounds over the zones, the largest of each zone first.
+/// Members of equal size come in an order of their names' hashes, so that those that stay keep
+/// their places when others come and go.
+Members boundedTo(const Members &members, std::size_t most)
+{
+    if (members.size() <= most)
+        return members;
+    std::map<std::string, Members> byZone;
+    for (const Member *member : members)
+        byZone[member->zone].push_back(member);
+    const auto rank = [](const Member *member) {
+        return std::pair(member->weight, XXH3_64bits(member->name.data(), member->name.size()));
+    };
+    for (auto &[zone, present] : byZone)
+        std::sort(present.begin(), present.end(),
+                  [&rank](const Member *a, const Member *b) { return rank(a) > rank(b); });
+    Members bounded;
+    for (std::size_t round = 0; bounded.size() < most; ++round)
+        for (const auto &[zone, present] : byZone)
+            if (round < present.size() && bounded.size() < most)
+                bounded.push_back(present[round]);
+    return bounded;
+}
+
 std::vector<EntryAddress> addressesOf(const Members &members)
 {
     std::vector<EntryAddress> entries;
@@ -49,18 +76,19 @@
 
 } // namespace
 
-std::vector<EntryAddress> selectEntries(std::span<const Member> members)
+std::vector<EntryAddress> selectEntries(std::span<const Member> members, std::size_t mostListed)
 {
     Members serving;
     for (const Member &member : members)
         if (member.state == MemberState::Alive && !member.address.empty())
             serving.push_back(&member);
-    const Members preferred = largeOf(serving);
+    const std::size_t most = std::max(mostListed, MinLarge);
+    const Members preferred = boundedTo(largeOf(serving), most);
     Members idle;
     std::copy_if(preferred.begin(), preferred.end(), std::back_inserter(idle),
                  [](const Member *member) { return !member->isBusy; });
     const std::size_t busy = preferred.size() - idle.size();
-    return addressesOf(busy * CrowdDivisor > preferred.size() ? serving : idle);
+    return addressesOf(busy * CrowdDivisor > preferred.size() ? boundedTo(serving, most) : idle);
 }
 
 } // namespace geraniumcart
--- a/tests/entry_selection_test.cpp
+++ b/tests/entry_selection_test.cpp
@@ -5,6 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+
 using namespace geraniumcart;
 using namespace std::chrono_literals;
 
@@ -20,6 +23,8 @@
     bool hasAddress = true;
 };
 
+constexpr std::size_t Unbounded = 1000;
+
 std::vector<Member> membersOf(const std::vector<Group> &groups)
 {
     std::vector<Member> members;
@@ -63,7 +68,38 @@
             {"members of an older release are left out", {{8, 0, 3}}, 8},
     }));
     INFO(failure);
-    CHECK(selectEntries(membersOf(groups)).size() == expected);
+    CHECK(selectEntries(membersOf(groups), Unbounded).size() == expected);
+}
+
+// Each daemon that callers use holds a connection to every searcher. Guards against more of them
+// than a searcher takes connections, which then close and open for every request.
+TEST_CASE("no more daemons are listed than searchers take connections")
+{
+    using Groups = std::vector<Group>;
+    const auto [failure, groups, most, expected] =
+            GENERATE(table<const char *, Groups, std::size_t, std::size_t>({
+                    {"a large fleet outnumbers the connections", {{300, 500, 4}}, 40, 40},
+                    {"a crowd outnumbers the connections", {{8, 500, 4, 8}, {292, 120, 4}}, 40, 40},
+                    {"few connections leave callers without a spare daemon", {{300, 500, 4}}, 1, 6},
+                    {"a small fleet is cut down", {{8, 250, 3}}, 20, 8},
+            }));
+    INFO(failure);
+    const std::vector<Member> members = membersOf(groups);
+    const std::vector<EntryAddress> entries = selectEntries(members, most);
+    REQUIRE(entries.size() == expected);
+    std::map<std::string, std::size_t> byZone;
+    for (const EntryAddress &entry : entries)
+        ++byZone[entry.zone];
+    for (const auto &[zone, count] : byZone)
+        CHECK(count + 1 >= expected / byZone.size());
+    // Guards against callers and connections that all move when one daemon leaves.
+    std::vector<Member> fewer = members;
+    std::erase_if(fewer,
+                  [&](const Member &member) { return member.address == entries.front().address; });
+    std::size_t kept = 0;
+    for (const EntryAddress &entry : selectEntries(fewer, most))
+        kept += std::count(entries.begin(), entries.end(), entry);
+    CHECK(kept == entries.size() - 1);
 }
 
 namespace {
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -188,7 +188,14 @@
     CHECK(directory.body().find(site.callers) != std::string::npos);
     const HttpResponse metrics =
             site.call(site.metrics, HttpRequest(http::verb::get, "/metrics", 11));
-    CHECK(metrics.body().find("geraniumcart_searchers{service=\"desk\"} 2") != std::string::npos);
+    for (const char *line :
+         {"geraniumcart_searchers{service=\"desk\"} 2",
+          "geraniumcart_store_calls_total{kind=\"searchers\",result=\"answered\"} ",
+          "geraniumcart_searcher_connections{state=\"idle\"} ", "geraniumcart_news_age_seconds 0.",
+          "geraniumcart_request_queue_seconds_count{tenant=\"127.0.0.1\",class=\"all\"} 1"}) {
+        INFO(line);
+        CHECK(metrics.body().find(line) != std::string::npos);
+    }
 }
 
 TEST_CASE("an at-most-once request is honest whatever its searcher does")
--- a/tests/platform_store_watch_test.cpp
+++ b/tests/platform_store_watch_test.cpp
@@ -50,7 +50,8 @@
 {
     explicit Cell(RawServer::Script script, Duration interval = 0ms)
         : server(context, std::move(script))
-        , watch(client, timers, heard, {.kind = "things", .wait = 100ms, .interval = interval})
+        , watch(client, timers, heard, calls,
+                {.kind = "things", .wait = 100ms, .interval = interval})
     {
         watch.start();
     }
@@ -60,6 +61,7 @@
     RawServer server;
     HttpClient client{context, server.endpoint()};
     Heard heard;
+    StoreCallCounts calls;
     platform::KindWatch watch;
 };
 
@@ -191,3 +193,25 @@
     CHECK(cell.server.heads[1].find("wait_ms=100") != std::string::npos);
     CHECK(cell.server.heads[2].find("wait_ms=0") != std::string::npos);
 }
+
+// Guards against calls that hide among others in the counts.
+TEST_CASE("a call to the store counts under its result")
+{
+    const auto [failure, httpFailure, status,
+                result] = GENERATE(table<const char *, HttpFailure, unsigned, StoreCallResult>({
+            {"an answer counts as refused", HttpFailure::None, 200, StoreCallResult::Answered},
+            {"a full store counts as gone", HttpFailure::None, 429, StoreCallResult::Refused},
+            {"a busy store counts as an answer", HttpFailure::None, 503, StoreCallResult::Refused},
+            {"a lost history counts as refused", HttpFailure::None, 410,
+             StoreCallResult::HistoryGone},
+            {"a lost race counts as refused", HttpFailure::None, 409, StoreCallResult::Conflict},
+            {"a lost answer counts as one", HttpFailure::ResponseLost, 200,
+             StoreCallResult::NoAnswer},
+            {"a lost connection counts as an answer", HttpFailure::NotSent, 200,
+             StoreCallResult::NoAnswer},
+    }));
+    INFO(failure);
+    HttpResponse response;
+    response.result(status);
+    CHECK(platform::resultOf(httpFailure, response) == result);
+}
