Leave failed searchers out of the predicted wait

The predicted wait took the least busy searcher of each service, and one that has just failed has nothing under way and an old latency, so that it looked idle; the choice of a searcher avoids it. It now counts only where no other is left. The test failed first.

The factor stays at 0.7 and has a name.

--- a/src/request/load_shedding.cpp
+++ b/src/request/load_shedding.cpp
@@ -12,13 +12,23 @@
 
 /// Smallest part that is let in.
 constexpr double LeastShare = 0.1;
+/// Part of the latency objective from which on requests are refused. Waits spread around the
+/// predicted one, so that at the objective itself half of those let in would be late.
+constexpr double SheddingStart = 0.7;
 
 Duration bestWait(const ServiceUpstreams &service, TimePoint now)
 {
+    // A searcher that has just failed has nothing under way and looks idle, but gets no request
+    // while another one is left.
     Duration best = Duration::max();
+    Duration bestSuspect = Duration::max();
     const Duration base = lowestLatency(service.upstreams);
-    for (const auto &upstream : service.upstreams)
-        best = std::min(best, expectedWait(*upstream, base, now));
+    for (const auto &upstream : service.upstreams) {
+        Duration &lowest = now < upstream->suspectUntil() ? bestSuspect : best;
+        lowest = std::min(lowest, expectedWait(*upstream, base, now));
+    }
+    if (best == Duration::max())
+        best = bestSuspect;
     return best == Duration::max() ? Duration::zero() : best;
 }
 
@@ -44,7 +54,7 @@
 
 double admittedShare(Duration predicted, Duration latencyObjective)
 {
-    const double ratio = 0.7 * std::chrono::duration<double>(latencyObjective) /
+    const double ratio = SheddingStart * std::chrono::duration<double>(latencyObjective) /
                          std::chrono::duration<double>(predicted);
     return std::clamp(ratio * ratio, LeastShare, 1.0);
 }
--- a/tests/load_shedding_test.cpp
+++ b/tests/load_shedding_test.cpp
@@ -47,6 +47,31 @@
     CHECK((predictedWait(cell.routeTable.routes[0], {}, *view, now) > 500ms) == isLong);
 }
 
+// Guards against a crowd that is let in because a crashed searcher looks idle.
+TEST_CASE("a searcher that has just failed does not shorten the wait")
+{
+    const auto [failure, failed, isLong] = GENERATE(table<const char *, int, bool>({
+            {"an idle searcher does not count", 0, false},
+            {"the failed one of two counts as idle", 1, true},
+    }));
+    INFO(failure);
+    GatewayCell cell({plainRoute()});
+    for (const char *name : {"busy", "other"})
+        cell.add(searcher("desk", name));
+    const auto view = cell.views.pin();
+    const auto &upstreams = view->find("desk")->upstreams;
+    const TimePoint now = cell.timers.now();
+    upstreams[0]->noteSent(now);
+    upstreams[0]->noteAnswer(now, 300ms);
+    upstreams[1]->noteSent(now - 5s);
+    upstreams[1]->noteAnswer(now - 5s, 10ms);
+    if (failed > 0) {
+        upstreams[1]->noteSent(now);
+        upstreams[1]->noteFailure(now);
+    }
+    CHECK((predictedWait(cell.routeTable.routes[0], "desk", *view, now) > 200ms) == isLong);
+}
+
 namespace {
 
 /// Searchers with slots and a queue, as a load model behind the gateway's transport.
