--- a/tests/serving_view_test.cpp
+++ b/tests/serving_view_test.cpp
@@ -182,3 +182,37 @@
     for (int i = 0; i < 20; ++i)
         CHECK(choice.choose(candidates, now, usable) == candidates[0]);
 }
+
+// Guards against a searcher that is healthy by its entry and refuses a part of its requests: each
+// refusal needs a second attempt, and the budget for those is small.
+TEST_CASE("a searcher that often refuses is left out until it recovers")
+{
+    const auto [failure, refusals, pause, lowest, highest] =
+            GENERATE(table<const char *, int, Duration, int, int>({
+                    {"equal searchers are used unequally", 0, 100ms, 350, 650},
+                    {"a single refusal takes a searcher out", 1, 100ms, 100, 500},
+                    {"a searcher that refuses four of ten keeps its part", 4, 100ms, 0, 50},
+                    {"a searcher that recovered stays out", 4, 10s, 250, 600},
+            }));
+    INFO(failure);
+    const TimePoint now = TimePoint() + 1h;
+    const std::vector<std::shared_ptr<Upstream>> candidates{
+            std::make_shared<Upstream>(searcher("desk", "a")),
+            std::make_shared<Upstream>(searcher("desk", "b"))};
+    for (int i = 0; i < 10; ++i)
+        for (const auto &upstream : candidates) {
+            upstream->noteSent(now);
+            if (upstream == candidates[1] && i % 2 == 0 && i / 2 < refusals)
+                upstream->noteRefusal(now);
+            else
+                upstream->noteAnswer(now, 10ms);
+        }
+    UpstreamChoice choice("z0", 3);
+    const auto usable = [](const Upstream &) { return true; };
+    int chosen = 0;
+    for (int i = 0; i < 1000; ++i)
+        if (choice.choose(candidates, now + pause, usable) == candidates[1])
+            ++chosen;
+    CHECK(chosen >= lowest);
+    CHECK(chosen <= highest);
+}
