Weigh failed requests like refused ones in the choice of a searcher

A searcher that fails part of its requests was suspected for 100 ms after each failure and cleared by the next answer, so that it kept most of its part. Its failures now count in the share of lost requests that lengthens its expected wait. The test's row failed before.

--- a/include/geraniumcart/upstream.h
+++ b/include/geraniumcart/upstream.h
@@ -71,8 +71,8 @@
     Duration latencyAge(TimePoint now) const { return now - load(m_lastAnswer); }
     /// For how long requests have been under way without any answer; zero while none is.
     Duration silence(TimePoint now) const;
-    /// Share of requests that the searcher refused lately, 0 to 1; fades with time.
-    double refusalShare(TimePoint now) const;
+    /// Share of requests that the searcher refused or failed lately, 0 to 1; fades with time.
+    double lossShare(TimePoint now) const;
     /// Until then the searcher is used only where no other one is left.
     TimePoint suspectUntil() const { return load(m_suspectUntil); }
     bool isReplaced() const { return m_isReplaced.load(std::memory_order_relaxed); }
@@ -84,6 +84,8 @@
     bool tryTakeWarmUp(TimePoint now, Duration interval);
 
 private:
+    void raiseLossShare(TimePoint now);
+
     using Ticks = std::atomic<Duration::rep>;
     static TimePoint load(const Ticks &ticks)
     {
@@ -101,8 +103,8 @@
     const std::string m_version;
     std::atomic<std::uint32_t> m_inFlight{0};
     std::atomic<std::uint32_t> m_failures{0};
-    std::atomic<double> m_refusalShare{0};
-    Ticks m_lastRefusal{0};
+    std::atomic<double> m_lossShare{0};
+    Ticks m_lastLoss{0};
     Ticks m_latency{0};
     Ticks m_lastAnswer{0};
     /// Last answer, or the dispatch that ended an idle time.
--- a/src/process/upstream.cpp
+++ b/src/process/upstream.cpp
@@ -16,12 +16,12 @@
 constexpr std::chrono::milliseconds LongestSuspicion{1600};
 /// Doublings from FirstSuspicion to LongestSuspicion.
 constexpr std::uint32_t MaxDoublings = 4;
-/// Weight of one answer or refusal in the share of refusals: one in eight shows a searcher that
-/// refuses four of ten within about ten requests, and a single refusal counts little.
-constexpr double RefusalWeight = 1.0 / 8;
-/// Time in which half of the share fades while nothing is refused, so that the searcher is tried
+/// Weight of one request in the share of refused and failed ones: one in eight shows a searcher
+/// that loses four of ten within about ten requests, and a single one counts little.
+constexpr double LossWeight = 1.0 / 8;
+/// Time in which half of the share fades while nothing is lost, so that the searcher is tried
 /// again.
-constexpr std::chrono::seconds RefusalHalfLife{2};
+constexpr std::chrono::seconds LossHalfLife{2};
 /// Pause after a refusal: a full searcher has room again after about one request.
 constexpr std::chrono::milliseconds RefusalPause{15};
 
@@ -42,8 +42,8 @@
                                        : smoothed + (latency.count() - smoothed) / SmoothingDivisor;
     m_latency.store(std::max<Duration::rep>(next, 1), std::memory_order_relaxed);
     // Workers may overwrite each other's update, which the next one makes up for.
-    m_refusalShare.store(m_refusalShare.load(std::memory_order_relaxed) * (1 - RefusalWeight),
-                         std::memory_order_relaxed);
+    m_lossShare.store(m_lossShare.load(std::memory_order_relaxed) * (1 - LossWeight),
+                      std::memory_order_relaxed);
     store(m_lastAnswer, now);
     store(m_lastProgress, now);
     store(m_suspectUntil, TimePoint());
@@ -56,6 +56,7 @@
     const std::uint32_t failures = m_failures.fetch_add(1, std::memory_order_relaxed);
     const Duration pause = FirstSuspicion * (1U << std::min(failures, MaxDoublings));
     store(m_suspectUntil, now + std::min<Duration>(pause, LongestSuspicion));
+    raiseLossShare(now);
 }
 
 void Upstream::noteRefusal(TimePoint now)
@@ -63,18 +64,23 @@
     noteEnded();
     store(m_lastProgress, now);
     store(m_suspectUntil, now + RefusalPause);
-    const double share = refusalShare(now);
-    m_refusalShare.store(share + (1 - share) * RefusalWeight, std::memory_order_relaxed);
-    store(m_lastRefusal, now);
+    raiseLossShare(now);
 }
 
-double Upstream::refusalShare(TimePoint now) const
+void Upstream::raiseLossShare(TimePoint now)
 {
-    const double share = m_refusalShare.load(std::memory_order_relaxed);
+    const double share = lossShare(now);
+    m_lossShare.store(share + (1 - share) * LossWeight, std::memory_order_relaxed);
+    store(m_lastLoss, now);
+}
+
+double Upstream::lossShare(TimePoint now) const
+{
+    const double share = m_lossShare.load(std::memory_order_relaxed);
     if (share == 0)
         return 0;
-    const std::chrono::duration<double> age = now - load(m_lastRefusal);
-    return share * std::exp2(-age / RefusalHalfLife);
+    const std::chrono::duration<double> age = now - load(m_lastLoss);
+    return share * std::exp2(-age / LossHalfLife);
 }
 
 Duration Upstream::silence(TimePoint now) const
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -21,9 +21,9 @@
 constexpr Duration ImpressionHalfLife = std::chrono::seconds(2);
 /// A cold searcher takes about this much longer.
 constexpr double ColdFactor = 1.6;
-/// A refusal counts as this many answers: it takes an exchange, and the attempt that follows comes
-/// out of a small budget.
-constexpr double RefusalCost = 4;
+/// A refused or failed request counts as this many answers: it takes an exchange, and the attempt
+/// that follows, if one may, comes out of a small budget.
+constexpr double LossCost = 4;
 /// Spread between daemons, so that they do not all pick the same searcher of two equal ones.
 constexpr double ChoiceSpread = 0.3;
 
@@ -56,7 +56,7 @@
     latency = std::max(latency, seconds(upstream.silence(now)));
     if (upstream.isCold(now))
         latency *= ColdFactor;
-    latency *= 1 + RefusalCost * upstream.refusalShare(now);
+    latency *= 1 + LossCost * upstream.lossShare(now);
     return std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(latency * (1 + upstream.inFlight())));
 }
--- a/tests/serving_view_test.cpp
+++ b/tests/serving_view_test.cpp
@@ -183,17 +183,23 @@
         CHECK(choice.choose(candidates, now, usable) == candidates[0]);
 }
 
-// Guards against a searcher that is healthy by its entry and refuses a part of its requests: each
-// refusal needs a second attempt, and the budget for those is small.
-TEST_CASE("a searcher that often refuses is left out until it recovers")
+// Guards against a searcher that is healthy by its entry and loses a part of its requests: each of
+// them needs a second attempt, and the budget for those is small.
+TEST_CASE("a searcher that often refuses or fails is left out until it recovers")
 {
-    const auto [failure, refusals, pause, lowest, highest] =
-            GENERATE(table<const char *, int, Duration, int, int>({
-                    {"equal searchers are used unequally", 0, 100ms, 350, 650},
-                    {"a single refusal takes a searcher out", 1, 100ms, 100, 500},
-                    {"a searcher that refuses four of ten keeps its part", 4, 100ms, 0, 50},
-                    {"a searcher that recovered stays out", 4, 10s, 250, 600},
-            }));
+    using Note = void (Upstream::*)(TimePoint);
+    const auto [failure, note, lost, pause, lowest,
+                highest] = GENERATE(table<const char *, Note, int, Duration, int, int>({
+            {"equal searchers are used unequally", &Upstream::noteRefusal, 0, 100ms, 350, 650},
+            {"a single refusal takes a searcher out", &Upstream::noteRefusal, 1, 100ms, 100, 500},
+            {"a searcher that refuses four of ten keeps its part", &Upstream::noteRefusal, 4, 100ms,
+             0, 50},
+            {"a searcher that fails four of ten keeps its part", &Upstream::noteFailure, 4, 100ms,
+             0, 50},
+            {"a searcher that recovered stays out", &Upstream::noteRefusal, 4, 10s, 250, 600},
+            {"a searcher that failed and recovered stays out", &Upstream::noteFailure, 4, 10s, 250,
+             600},
+    }));
     INFO(failure);
     const TimePoint now = TimePoint() + 1h;
     const std::vector<std::shared_ptr<Upstream>> candidates{
@@ -202,8 +208,8 @@
     for (int i = 0; i < 10; ++i)
         for (const auto &upstream : candidates) {
             upstream->noteSent(now);
-            if (upstream == candidates[1] && i % 2 == 0 && i / 2 < refusals)
-                upstream->noteRefusal(now);
+            if (upstream == candidates[1] && i % 2 == 0 && i / 2 < lost)
+                ((*upstream).*note)(now);
             else
                 upstream->noteAnswer(now, 10ms);
         }
