--- a/include/geraniumcart/fleet_rollouts.h
+++ b/include/geraniumcart/fleet_rollouts.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace geraniumcart {
 
