Prepare and copy less when many daemons start

Peers are now asked 150 ms after the first is found, and only if the store has not answered; a daemon opens connections ahead of need only if it would be listed once it is ready. Both decisions have tests that failed before.

--- a/include/geraniumcart/entry_selection.h
+++ b/include/geraniumcart/entry_selection.h
@@ -18,4 +18,8 @@
 /// @param mostListed daemons whose connections the searchers can hold
 std::vector<EntryAddress> selectEntries(std::span<const Member> members, std::size_t mostListed);
 
+/// True if the member at @p index would be listed if it were ready to serve callers. One that would
+/// not be needs no connections ahead of need.
+bool wouldBeListed(std::span<const Member> members, std::size_t index, std::size_t mostListed);
+
 } // namespace geraniumcart
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -184,6 +184,8 @@
     WorkerPool m_workers;
     std::vector<std::unique_ptr<WorkerPart>> m_parts;
     std::atomic<bool> m_isReady{false};
+    /// Callers would be sent here, so that connections are opened ahead of need.
+    std::atomic<bool> m_isCandidate{true};
     std::optional<CallerListener> m_callers;
     std::optional<CallerListener> m_directory;
     std::optional<CallerListener> m_readiness;
@@ -353,7 +355,7 @@
                                       });
     part.connections.setIdleTime(isListed ? ListedIdleTime : UnlistedIdleTime);
     // Before it is listed for the first time a daemon prepares for its callers.
-    if (!isListed && m_isReady)
+    if (!isListed && (m_isReady || !m_isCandidate))
         return;
     std::minstd_rand random{std::random_device{}()};
     std::uniform_int_distribution<Duration::rep> spread(0, Duration(WarmUpSpread).count());
@@ -364,8 +366,12 @@
             present.insert(key);
             if (part.warmed.contains(key))
                 continue;
-            part.worker.timers.schedule(Duration(spread(random)),
-                                        [&part, upstream] { part.connections.warmUp(upstream); });
+            part.worker.timers.schedule(Duration(spread(random)), [this, &part, upstream, key] {
+                if (m_isCandidate)
+                    part.connections.warmUp(upstream);
+                else
+                    part.warmed.erase(key);
+            });
         }
     part.warmed = std::move(present);
 }
@@ -436,6 +442,8 @@
     });
     const ServingViewPin view = m_views.pin();
     m_mostListed = view->routes ? mostListedDaemons(*view->routes) : members.size();
+    // The first member is this daemon.
+    m_isCandidate = wouldBeListed(members, 0, m_mostListed);
     m_builder.setEntries(selectEntries(members, m_mostListed), static_cast<std::uint32_t>(present));
 }
 
--- a/src/version/entry_selection.cpp
+++ b/src/version/entry_selection.cpp
@@ -76,6 +76,20 @@
 
 } // namespace
 
+bool wouldBeListed(std::span<const Member> members, std::size_t index, std::size_t mostListed)
+{
+    std::vector<Member> ready(members.begin(), members.end());
+    Member &candidate = ready[index];
+    candidate.state = MemberState::Alive;
+    candidate.isBusy = false;
+    if (candidate.address.empty())
+        candidate.address = candidate.peerAddress;
+    const std::vector<EntryAddress> entries = selectEntries(ready, mostListed);
+    return std::any_of(entries.begin(), entries.end(), [&candidate](const EntryAddress &entry) {
+        return entry.address == candidate.address;
+    });
+}
+
 std::vector<EntryAddress> selectEntries(std::span<const Member> members, std::size_t mostListed)
 {
     Members serving;
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -33,6 +33,10 @@
 constexpr std::uint32_t MismatchesBeforePull = 3;
 /// Least time between two such comparisons.
 constexpr std::chrono::milliseconds PullInterval{2000};
+/// Time that the store has to answer a daemon that starts before its peers are asked for everything
+/// as well. The store answers in a few milliseconds, and copies from peers would be most of the
+/// bytes of a large fleet's start.
+constexpr std::chrono::milliseconds StoreHeadStart{150};
 /// Interval at which a daemon that is cut off from store and watchers asks its peers.
 constexpr std::chrono::milliseconds AskInterval{1000};
 /// Objects of one frame; a frame holds up to 8 MB.
@@ -120,8 +124,12 @@
         if (std::find(sources.begin(), sources.end(), m_self) != sources.end())
             m_followers.push_back(member.peerAddress);
     }
-    if (!m_peers.empty() && !std::exchange(m_hasAskedPeers, true))
-        askPeers();
+    if (m_peers.empty() || std::exchange(m_hasAskedPeers, true))
+        return;
+    m_timers.schedule(StoreHeadStart, [this] {
+        if (m_lastContact == TimePoint())
+            askPeers();
+    });
 }
 
 void FleetRelay::askPeers()
--- a/tests/entry_selection_test.cpp
+++ b/tests/entry_selection_test.cpp
@@ -102,6 +102,46 @@
     CHECK(kept == entries.size() - 1);
 }
 
+// Guards against connections to all searchers that every daemon of a large fleet opens at its start
+// although only the large ones get callers.
+TEST_CASE("a daemon knows before it is ready whether callers would be sent to it")
+{
+    using Groups = std::vector<Group>;
+    const auto [failure, groups, index, expected] =
+            GENERATE(table<const char *, Groups, std::size_t, bool>({
+                    {"a daemon of a small fleet does not prepare",
+                     {{8, 250, 3, 0, MemberState::Alive, false}},
+                     0,
+                     true},
+                    {"a large daemon does not prepare", {{8, 500, 4}, {52, 120, 4}}, 3, true},
+                    {"a small daemon prepares", {{8, 500, 4}, {52, 120, 4}}, 8, false},
+                    {"a daemon that is not ready is taken for one that never will be",
+                     {{7, 500, 4}, {1, 500, 1, 0, MemberState::Alive, false}, {52, 120, 4}},
+                     7,
+                     true},
+                    {"a large daemon is not used again after it was busy",
+                     {{8, 500, 4, 1}, {52, 120, 4}},
+                     0,
+                     true},
+            }));
+    INFO(failure);
+    std::vector<Member> members = membersOf(groups);
+    for (Member &member : members)
+        member.peerAddress = "10.1.0.1:" + member.name;
+    CHECK(wouldBeListed(members, index, Unbounded) == expected);
+}
+
+// Guards against more daemons that prepare than searchers take connections.
+TEST_CASE("as many daemons prepare for callers as may be listed")
+{
+    constexpr std::size_t Most = 40;
+    const std::vector<Member> members = membersOf({{60, 500, 1}});
+    std::size_t preparing = 0;
+    for (std::size_t i = 0; i < members.size(); ++i)
+        preparing += wouldBeListed(members, i, Most) ? 1 : 0;
+    CHECK(preparing == Most);
+}
+
 namespace {
 
 /// Timers that fire late, as those of a worker with too much to do.
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -73,9 +73,10 @@
             FleetRelay &relay = node->second->relay;
             if (const auto *beat = std::get_if<PeerFleetBeat>(&message))
                 relay.onBeat(from, *beat);
-            else if (const auto *pull = std::get_if<PeerObjectPull>(&message))
+            else if (const auto *pull = std::get_if<PeerObjectPull>(&message)) {
+                ++pulls;
                 relay.onPull(from, *pull);
-            else if (const auto *push = std::get_if<PeerObjectPush>(&message))
+            } else if (const auto *push = std::get_if<PeerObjectPush>(&message))
                 relay.onPush(*push);
         });
     }
@@ -124,6 +125,7 @@
     std::set<std::string> cut;
     bool isStoreDown = false;
     int calls = 0;
+    int pulls = 0;
     std::size_t steps = 0;
 };
 
@@ -205,6 +207,24 @@
     CHECK(fleet.haveAll("config/main", "routes"));
 }
 
+// Guards against copies of everything from two peers beside the store's own answer, which were most
+// of the bytes between zones in the start of 300 daemons.
+TEST_CASE("a daemon that starts asks its peers only while the store does not answer")
+{
+    const auto [failure, doesStoreAnswer, isAsked] = GENERATE(table<const char *, bool, bool>({
+            {"peers are asked beside the store", true, false},
+            {"peers are not asked for the store's sake", false, true},
+    }));
+    INFO(failure);
+    Fleet fleet(8);
+    fleet.pulls = 0;
+    fleet.start(2);
+    if (doesStoreAnswer)
+        fleet.nodes["d2"]->relay.onStoreContact();
+    fleet.run(400ms);
+    CHECK((fleet.pulls > 0) == isAsked);
+}
+
 TEST_CASE("a store object never goes back")
 {
     const auto [failure, version, value, expected] =
