Stop beating as a watcher once the store turns it away

They went on telling their followers that they were current until 3.2 s had passed without an answer, and the followers waited 1.5 s more, so that version 6 (sent at 2.97 s) came into force at 6.38 s; 3 s are allowed.

A watcher whose call to the store fails is no longer current until the next answer. The test's row failed first.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -38,6 +38,8 @@
                             std::uint64_t revision) = 0;
     /// The store answered.
     virtual void onStoreContact() = 0;
+    /// A call to the store failed or was refused.
+    virtual void onStoreLost() = 0;
 };
 
 /// Spreads what the store holds over all daemons. A few watch the store and tell the others of each
@@ -65,6 +67,7 @@
     void onFactList(const std::string &prefix, const std::set<std::string> &keys,
                     std::uint64_t revision) override;
     void onStoreContact() override;
+    void onStoreLost() override { m_isStoreLost = true; }
 
     void onBeat(const std::string &peerAddress, const PeerFleetBeat &beat);
     void onPull(const std::string &peerAddress, const PeerObjectPull &pull);
@@ -101,6 +104,8 @@
     std::map<std::string, StoredObject> m_news;
     std::uint64_t m_digest = 0;
     bool m_isWatching = false;
+    /// The last call to the store failed.
+    bool m_isStoreLost = false;
     bool m_hasAskedPeers = false;
     std::uint32_t m_mismatches = 0;
     /// Last beat of a watcher; long ago before the first.
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -148,7 +148,7 @@
 
 bool FleetRelay::isCurrent() const
 {
-    return m_isWatching && m_timers.now() - m_lastContact < ContactTimeout &&
+    return m_isWatching && !m_isStoreLost && m_timers.now() - m_lastContact < ContactTimeout &&
            m_lastContact != TimePoint();
 }
 
@@ -227,6 +227,7 @@
 void FleetRelay::onStoreContact()
 {
     m_lastContact = m_timers.now();
+    m_isStoreLost = false;
 }
 
 void FleetRelay::flushNews()
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -90,8 +90,12 @@
             for (const auto &[name, node] : nodes) {
                 if ((steps + std::hash<std::string>{}(name)) % 8 != 0)
                     continue;
-                if (!node->isWatching || !node->reachesStore || isStoreDown)
+                if (!node->isWatching)
                     continue;
+                if (!node->reachesStore || isStoreDown) {
+                    node->relay.onStoreLost();
+                    continue;
+                }
                 ++calls;
                 node->relay.onStoreContact();
                 for (const auto &[key, object] : store)
@@ -172,6 +176,13 @@
                  fleet.run(5s);
              },
              2000ms, 8},
+            {"watchers that the store turns away leave all behind for too long",
+             [](Fleet &fleet) {
+                 // alianca-busca trouble-1 --seed 833804058839: the store refused all three.
+                 for (const std::string &watcher : pickWatchers(fleet.members))
+                     fleet.nodes[watcher]->reachesStore = false;
+             },
+             2900ms, 8},
             {"a daemon that is cut off from its peers is left behind",
              [](Fleet &fleet) {
                  fleet.cut.insert("d5");
--- a/tests/platform_store_watch_test.cpp
+++ b/tests/platform_store_watch_test.cpp
@@ -36,6 +36,7 @@
             present[object.name] = object.revision;
     }
     void onContact() override {}
+    void onLost() override { ++lost; }
     void onList(const std::set<std::string> &names, std::uint64_t) override
     {
         ++lists;
@@ -44,6 +45,7 @@
 
     std::map<std::string, std::uint64_t> present;
     int lists = 0;
+    int lost = 0;
 };
 
 struct Cell
