--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -160,38 +160,41 @@
 TEST_CASE("every daemon learns what the store holds")
 {
     using Step = void (*)(Fleet & fleet);
-    const auto [failure, step, wait, most] = GENERATE(table<const char *, Step, Duration, int>({
-            {"a change does not reach the followers", [](Fleet &) {}, 900ms, 3},
-            {"the loss of a watcher leaves followers behind",
-             [](Fleet &fleet) {
-                 const std::string lost = pickWatchers(fleet.members)[0];
-                 fleet.retired.push_back(std::move(fleet.nodes[lost]));
-                 fleet.nodes.erase(lost);
-             },
-             900ms, 3},
-            {"watchers that are cut off from the store leave all behind",
-             [](Fleet &fleet) {
-                 for (const std::string &watcher : pickWatchers(fleet.members))
-                     fleet.nodes[watcher]->reachesStore = false;
-                 fleet.run(5s);
-             },
-             2000ms, 8},
-            {"watchers that the store turns away leave all behind for too long",
-             [](Fleet &fleet) {
-                 // alianca-busca trouble-1 --seed 833804058839: the store refused all three.
-                 for (const std::string &watcher : pickWatchers(fleet.members))
-                     fleet.nodes[watcher]->reachesStore = false;
-             },
-             2900ms, 8},
-            {"a daemon that is cut off from its peers is left behind",
-             [](Fleet &fleet) {
-                 fleet.cut.insert("d5");
-                 fleet.run(2s);
-             },
-             900ms, 4},
-            {"a daemon that starts again is left behind", [](Fleet &fleet) { fleet.start(5); },
-             900ms, 4},
-    }));
+    const auto [failure, step, wait, most] =
+            GENERATE(
+                    table<const char *, Step, Duration, int>({
+                            {"a change does not reach the followers", [](Fleet &) {}, 900ms, 3},
+                            {"the loss of a watcher leaves followers behind",
+                             [](Fleet &fleet) {
+                                 const std::string lost = pickWatchers(fleet.members)[0];
+                                 fleet.retired.push_back(std::move(fleet.nodes[lost]));
+                                 fleet.nodes.erase(lost);
+                             },
+                             900ms, 3},
+                            {"watchers that are cut off from the store leave all behind",
+                             [](Fleet &fleet) {
+                                 for (const std::string &watcher : pickWatchers(fleet.members))
+                                     fleet.nodes[watcher]->reachesStore = false;
+                                 fleet.run(5s);
+                             },
+                             2000ms, 8},
+                            {"watchers that the store turns away leave all behind for too long",
+                             [](Fleet &fleet) {
+                                 // alianca-busca trouble-1 --seed 833804058839: the store refused
+                                 // all three.
+                                 for (const std::string &watcher : pickWatchers(fleet.members))
+                                     fleet.nodes[watcher]->reachesStore = false;
+                             },
+                             2900ms, 8},
+                            {"a daemon that is cut off from its peers is left behind",
+                             [](Fleet &fleet) {
+                                 fleet.cut.insert("d5");
+                                 fleet.run(2s);
+                             },
+                             900ms, 4},
+                            {"a daemon that starts again is left behind",
+                             [](Fleet &fleet) { fleet.start(5); }, 900ms, 4},
+                    }));
     INFO(failure);
     Fleet fleet(8);
     CHECK(fleet.watching() == 3);
