--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -75,7 +75,7 @@
 
     bool isWatching() const { return m_isWatching; }
     /// Time since the store or a watcher was last heard; all of the daemon's life before that.
-    Duration newsAge() const { return m_timers.now() - std::max(m_lastBeat, m_lastContact); }
+    Duration stateAge() const { return m_timers.now() - std::max(m_lastBeat, m_lastContact); }
     /// Hash of all objects that are not gone.
     std::uint64_t digest() const { return m_digest; }
 
--- a/include/geraniumcart/membership.h
+++ b/include/geraniumcart/membership.h
@@ -93,7 +93,7 @@
         /// Messages that carried the member's present state.
         std::uint64_t transmissions = 0;
         /// Number of the last of them.
-        std::uint64_t lastTold = 0;
+        std::uint64_t lastSent = 0;
     };
     struct Probe
     {
@@ -110,8 +110,8 @@
     void contactSeeds();
     /// Members that answer, in random order.
     std::vector<const Member *> shuffledPresent();
-    void askForAll();
-    void tellAll(const std::string &address);
+    void requestAllMembers();
+    void sendAllMembers(const std::string &address);
     void expire();
 
     void applyMember(const Member &member);
--- a/include/geraniumcart/upstream.h
+++ b/include/geraniumcart/upstream.h
@@ -72,7 +72,7 @@
     /// For how long requests have been under way without any answer; zero while none is.
     Duration silence(TimePoint now) const;
     /// Share of requests that the searcher refused or failed lately, 0 to 1; fades with time.
-    double lossShare(TimePoint now) const;
+    double failureShare(TimePoint now) const;
     /// Until then the searcher is used only where no other one is left.
     TimePoint suspectUntil() const { return load(m_suspectUntil); }
     bool isReplaced() const { return m_isReplaced.load(std::memory_order_relaxed); }
@@ -84,7 +84,7 @@
     bool tryTakeWarmUp(TimePoint now, Duration interval);
 
 private:
-    void raiseLossShare(TimePoint now);
+    void raiseFailureShare(TimePoint now);
 
     using Ticks = std::atomic<Duration::rep>;
     static TimePoint load(const Ticks &ticks)
@@ -103,8 +103,8 @@
     const std::string m_version;
     std::atomic<std::uint32_t> m_inFlight{0};
     std::atomic<std::uint32_t> m_failures{0};
-    std::atomic<double> m_lossShare{0};
-    Ticks m_lastLoss{0};
+    std::atomic<double> m_failureShare{0};
+    Ticks m_lastFailure{0};
     Ticks m_latency{0};
     Ticks m_lastAnswer{0};
     /// Last answer, or the dispatch that ended an idle time.
--- a/src/connection/searcher_pool_p.h
+++ b/src/connection/searcher_pool_p.h
@@ -84,6 +84,14 @@
     bool isRetired() const { return m_isRetiring && m_links.empty(); }
 
 private:
+    /// A request is sent only with more than this left to its deadline. The header Deadline-Ms
+    /// holds whole milliseconds, and no answer comes back sooner.
+    static constexpr Duration MinRemaining = std::chrono::milliseconds(1);
+    /// A lost opening packet is sent again after one second, when another searcher is a better bet.
+    static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+    /// Longest time for an answer to GET /info or DELETE.
+    static constexpr Duration ControlTimeout = std::chrono::milliseconds(500);
+
     enum class LinkState : std::uint8_t {
         Connecting,
         /// Carries GET /info or DELETE.
--- /dev/null
+++ b/src/connection/searcher_pool_silence.cpp
@@ -0,0 +1,124 @@
+// Deadlines of a pool: waiting sub-requests, and links that make no progress.
+
+#include "connection/searcher_pool_p.h"
+
+#include <geraniumcart/config.h>
+
+#include <algorithm>
+
+namespace geraniumcart {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A link is silent early after this multiple of the usual latency, but not before the floor:
+/// one answer in 100 of a healthy searcher takes 200 ms.
+constexpr int SilenceLatencyFactor = 16;
+constexpr Duration EarlySilenceFloor = 400ms;
+/// Answers on other links of the searcher that show that it makes progress.
+constexpr std::uint64_t SilenceProgress = 8;
+/// No exchange holds a connection for longer, however late its deadline.
+constexpr Duration SilenceMax = 10s;
+
+} // namespace
+
+TimePoint SearcherPool::earlySilence(const Link &link) const
+{
+    return link.since + std::max(EarlySilenceFloor, m_state->latency() * SilenceLatencyFactor);
+}
+
+TimePoint SearcherPool::latestSilence(const Link &link) const
+{
+    switch (link.state) {
+    case LinkState::Connecting:
+        return link.since + ConnectTimeout;
+    case LinkState::Control:
+        return link.since + ControlTimeout;
+    case LinkState::Busy:
+        return std::min(link.since + SilenceMax, link.request.deadline + SilenceBound);
+    case LinkState::Idle:
+        break;
+    }
+    return TimePoint::max();
+}
+
+void SearcherPool::wakeAt(TimePoint time)
+{
+    if (time >= m_wakeAt)
+        return;
+    m_context.timers.cancel(m_timer);
+    m_wakeAt = time;
+    m_timer = m_context.timers.schedule(time - m_context.timers.now(), [this] { onTimer(); });
+}
+
+void SearcherPool::onTimer()
+{
+    m_wakeAt = TimePoint::max();
+    const TimePoint now = m_context.timers.now();
+    while (!m_waiting.empty() && m_waiting.begin()->first - now <= MinRemaining) {
+        fail(m_waiting.begin()->second, SubFailure::NoCapacity);
+        m_waiting.erase(m_waiting.begin());
+    }
+    checkLinks(now);
+    publishCold(now);
+    proceed(now);
+    if (!m_waiting.empty())
+        wakeAt(m_waiting.begin()->first - MinRemaining);
+}
+
+void SearcherPool::checkLinks(TimePoint now)
+{
+    std::vector<Link *> silent;
+    for (const auto &link : m_links) {
+        const TimePoint latest = latestSilence(*link);
+        if (now >= latest) {
+            silent.push_back(link.get());
+            continue;
+        }
+        if (latest != TimePoint::max())
+            wakeAt(latest);
+        if (link->state != LinkState::Busy)
+            continue;
+        if (link->request.listener && now >= link->request.deadline) {
+            m_state->recordFailure();
+            fail(link->request, SubFailure::TimedOut);
+        }
+        if (link->request.listener)
+            wakeAt(link->request.deadline);
+        // A booking is not given up early, since it cannot be repeated.
+        if (link->request.kind == RequestKind::Book)
+            continue;
+        if (now < earlySilence(*link))
+            wakeAt(earlySilence(*link));
+        else if (m_answers - link->answersBefore >= SilenceProgress)
+            silent.push_back(link.get());
+        else
+            wakeAt(now + EarlySilenceFloor);
+    }
+    for (Link *link : silent) {
+        const LinkState state = link->state;
+        link->connection->close();
+        if (state == LinkState::Busy) {
+            m_gate.finish(now);
+            if (link->request.listener) {
+                m_state->recordFailure();
+                fail(link->request, now >= link->request.deadline ? SubFailure::TimedOut
+                                                                  : SubFailure::ConnectionLost);
+            }
+        }
+        if (state == LinkState::Control && !link->hasAnswered) {
+            // Some searchers leave GET /info unanswered while they serve; without its Boot-Id the
+            // next connection may belong to a new process.
+            m_skipsProbe = true;
+            becomeCold(now);
+        }
+        removeLink(*link);
+        if (state == LinkState::Connecting)
+            noteConnectFailure(now);
+        else
+            m_context.counters.silentConnections.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+} // namespace geraniumcart
--- a/src/process/concurrency_limit.cpp
+++ b/src/process/concurrency_limit.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+/// Queries at once: before anything is known, at least, and at most.
 constexpr double FirstLimit = 16;
 constexpr double MinLimit = 4;
 constexpr double MaxLimit = 4096;
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -4,10 +4,9 @@
 #include "connection/control_network_p.h"
 #include "connection/metrics_handler_p.h"
 #include "connection/peer_listener_p.h"
-#include "connection/upstream_connections_p.h"
 #include "process/gateway_metrics_p.h"
+#include "process/gateway_worker_p.h"
 #include "process/log_p.h"
-#include "process/loop_lag_p.h"
 #include "process/worker_pool_p.h"
 
 #include <geraniumcart/entry_selection.h>
@@ -21,7 +20,6 @@
 #include <csignal>
 #include <optional>
 #include <random>
-#include <unordered_set>
 
 namespace geraniumcart {
 
@@ -33,84 +31,26 @@
 constexpr const char *Cell = "gateway";
 /// A daemon is listed once it had this long to open its connections to searchers.
 constexpr std::chrono::milliseconds ConnectionLeadTime{1200};
-/// Idle connections of a daemon that callers are sent to stay open for their next requests; those
-/// of another one only take a place that a listed daemon needs.
-constexpr std::chrono::seconds ListedIdleTime{60};
-constexpr std::chrono::milliseconds UnlistedIdleTime{200};
-/// Connections to searchers that appear together are opened spread over this time, since each
-/// opening holds a slot of the searcher for some ms and all daemons see it at the same moment.
-constexpr std::chrono::milliseconds WarmUpSpread{1000};
 /// After the request to stop, callers are still accepted while their directory answers run out.
 constexpr std::chrono::milliseconds AcceptWhileLeaving{3500};
 /// Part of the stop's grace that is kept for ending the process.
 constexpr std::chrono::milliseconds StopReserve{400};
-/// Interval at which counts of the workers reach the metrics.
-constexpr std::chrono::seconds ExportInterval{1};
 /// Interval at which a planned stop looks whether the last requests have ended.
 constexpr std::chrono::milliseconds StopPollInterval{20};
 /// Changes of members within this time are applied together: roles and entries are worked out over
 /// all members, and a large fleet that starts brings hundreds of changes at once.
 constexpr std::chrono::milliseconds MembersInterval{50};
+/// Interval at which the age of the fleet's state reaches the metrics.
+constexpr std::chrono::seconds ExportInterval{1};
 /// Interval between two heartbeats to peers. A lost daemon is unlisted in about three seconds.
 constexpr std::chrono::milliseconds ProbeInterval{400};
+/// A daemon with an eighth of a core may answer late; after this others probe it as well.
 constexpr std::chrono::milliseconds ProbeAckTimeout{300};
+/// Leaves the relayed probes two times the wait of the direct one.
 constexpr std::chrono::milliseconds ProbeTimeout{900};
+/// Time to refute, in which each member hears of about three others.
 constexpr std::chrono::milliseconds SuspicionTimeout{1200};
 
-/// States of connections that one thread writes and others read.
-class SharedLinkStates
-{
-public:
-    void set(const LinkStates &states)
-    {
-        m_opening.store(states.opening, std::memory_order_relaxed);
-        m_idle.store(states.idle, std::memory_order_relaxed);
-        m_busy.store(states.busy, std::memory_order_relaxed);
-    }
-    void addTo(LinkStates &sum) const
-    {
-        sum.opening += m_opening.load(std::memory_order_relaxed);
-        sum.idle += m_idle.load(std::memory_order_relaxed);
-        sum.busy += m_busy.load(std::memory_order_relaxed);
-    }
-
-private:
-    std::atomic<std::uint32_t> m_opening{0};
-    std::atomic<std::uint32_t> m_idle{0};
-    std::atomic<std::uint32_t> m_busy{0};
-};
-
-/// What the requests of one worker use.
-struct WorkerPart
-{
-    WorkerPart(Worker &ownWorker, const GatewaySettings &settings, const UpstreamHeaderNames &names,
-               const ServingViewPublisher &views, Stats &stats)
-        : worker(ownWorker)
-        , connections(worker.context, worker.timers, names)
-        , choice(settings.zone, std::random_device{}())
-        , gateway({worker.timers, connections, choice, counts}, views, stats)
-    {
-    }
-
-    Worker &worker;
-    UpstreamConnections connections;
-    UpstreamChoice choice;
-    CallCounts counts;
-    Gateway gateway;
-    /// Connections by state as of the last export; read by the thread that serves metrics.
-    SharedLinkStates links;
-    std::optional<LoopLag> lag;
-    /// Searchers to which a connection was opened ahead of need.
-    std::unordered_set<std::string> warmed;
-};
-
-/// What was added to the metrics so far.
-struct ExportedCounts
-{
-    CallCounts calls;
-    LinkCounts links;
-};
-
 /// Grows with each start of a daemon on one host, as long as the clock does not step back by more
 /// than the time between two starts.
 std::uint64_t newIncarnation(const TimerService &timers)
@@ -157,10 +97,8 @@
     std::uint32_t runningCalls() const;
 
     std::string metricsText() const;
-    void exportCounts(WorkerPart &part, ExportedCounts &exported);
-    void exportNewsAge();
+    void exportStateAge();
     void onView();
-    void warmUp(WorkerPart &part);
     void becomeReady();
     void onBusy(bool isBusy);
     void onMembersChanged();
@@ -179,19 +117,15 @@
     ServingViewPublisher m_views;
     Stats m_stats;
     StoreCallCounts m_storeCalls;
-    std::atomic<Duration::rep> m_newsAge{0};
+    std::atomic<Duration::rep> m_stateAge{0};
     ServingViewBuilder m_builder;
     WorkerPool m_workers;
-    std::vector<std::unique_ptr<WorkerPart>> m_parts;
-    std::atomic<bool> m_isReady{false};
-    /// Callers would be sent here, so that connections are opened ahead of need.
-    std::atomic<bool> m_isCandidate{true};
+    EntryRole m_role;
+    std::vector<std::unique_ptr<GatewayWorker>> m_gateways;
     std::optional<CallerListener> m_callers;
     std::optional<CallerListener> m_directory;
     std::optional<CallerListener> m_readiness;
     std::optional<CallerListener> m_metrics;
-    /// Counts that are in m_stats already, by worker.
-    std::vector<ExportedCounts> m_exported;
     FleetRollouts m_rollouts;
     std::optional<ControlNetwork> m_network;
     std::optional<Membership> m_membership;
@@ -218,8 +152,9 @@
                   [this] { return m_relay->isWatching(); }})
 {
     for (std::uint32_t i = 0; i < m_workers.size(); ++i)
-        m_parts.push_back(std::make_unique<WorkerPart>(
-                m_workers.worker(i), m_settings, m_platform.upstreamHeaders(), m_views, m_stats));
+        m_gateways.push_back(std::make_unique<GatewayWorker>(m_workers.worker(i), m_settings,
+                                                             m_platform.upstreamHeaders(), m_views,
+                                                             m_role, m_stats));
 }
 
 GatewayDaemon::Parts::~Parts()
@@ -232,11 +167,11 @@
     std::vector<std::unique_ptr<CallerHandler>> callers;
     std::vector<std::unique_ptr<CallerHandler>> directory;
     std::vector<std::unique_ptr<CallerHandler>> readiness;
-    for (const auto &part : m_parts) {
+    for (const auto &worker : m_gateways) {
         callers.push_back(
-                std::make_unique<GatewayHandler>(part->gateway, m_platform.callerHeaders()));
+                std::make_unique<GatewayHandler>(worker->gateway(), m_platform.callerHeaders()));
         directory.push_back(m_platform.makeDirectoryHandler(m_views));
-        readiness.push_back(m_platform.makeReadinessHandler(m_isReady));
+        readiness.push_back(m_platform.makeReadinessHandler(m_role.isReady));
     }
     std::vector<std::unique_ptr<CallerHandler>> metrics;
     for (std::uint32_t i = 0; i < m_workers.size(); ++i)
@@ -295,16 +230,10 @@
               {"zone", m_settings.zone},
               {"address", m_settings.callerAddress}});
     awaitSignal();
-    m_exported.resize(m_parts.size());
-    for (std::size_t i = 0; i < m_parts.size(); ++i)
-        exportCounts(*m_parts[i], m_exported[i]);
-    for (const auto &part : m_parts) {
-        part->lag.emplace(part->worker.timers, [this](bool isBusy) {
-            asio::post(m_context, [this, isBusy] { onBusy(isBusy); });
-        });
-        part->lag->start();
-    }
-    exportNewsAge();
+    for (const auto &worker : m_gateways)
+        worker->start(
+                [this](bool isBusy) { asio::post(m_context, [this, isBusy] { onBusy(isBusy); }); });
+    exportStateAge();
     m_relay->start();
     m_membership->start();
     m_workers.start();
@@ -335,8 +264,8 @@
 
 void GatewayDaemon::Parts::onView()
 {
-    for (const auto &part : m_parts)
-        asio::post(part->worker.context, [this, part = part.get()] { warmUp(*part); });
+    for (const auto &worker : m_gateways)
+        worker->postViewChanged();
     const ServingViewPin view = m_views.pin();
     if (view->routes && mostListedDaemons(*view->routes) != m_mostListed)
         onMembersChanged();
@@ -346,36 +275,6 @@
     m_timers.schedule(ConnectionLeadTime, [this] { becomeReady(); });
 }
 
-void GatewayDaemon::Parts::warmUp(WorkerPart &part)
-{
-    const ServingViewPin view = m_views.pin();
-    const bool isListed = std::any_of(view->entries.begin(), view->entries.end(),
-                                      [this](const EntryAddress &entry) {
-                                          return entry.address == m_settings.callerAddress;
-                                      });
-    part.connections.setIdleTime(isListed ? ListedIdleTime : UnlistedIdleTime);
-    // Before it is listed for the first time a daemon prepares for its callers.
-    if (!isListed && (m_isReady || !m_isCandidate))
-        return;
-    std::minstd_rand random{std::random_device{}()};
-    std::uniform_int_distribution<Duration::rep> spread(0, Duration(WarmUpSpread).count());
-    std::unordered_set<std::string> present;
-    for (const auto &[name, service] : view->services)
-        for (const std::shared_ptr<Upstream> &upstream : service.upstreams) {
-            const std::string key = upstream->instanceId() + '@' + upstream->address();
-            present.insert(key);
-            if (part.warmed.contains(key))
-                continue;
-            part.worker.timers.schedule(Duration(spread(random)), [this, &part, upstream, key] {
-                if (m_isCandidate)
-                    part.connections.warmUp(upstream);
-                else
-                    part.warmed.erase(key);
-            });
-        }
-    part.warmed = std::move(present);
-}
-
 void GatewayDaemon::Parts::becomeReady()
 {
     if (m_isStopping)
@@ -384,39 +283,23 @@
     m_membership->announceAddress(m_settings.callerAddress);
     // Callers that find this daemon ready may ask its directory at once.
     applyMembers();
-    m_timers.schedule(Duration::zero(), [this] { m_isReady = !m_isStopping; });
+    m_timers.schedule(Duration::zero(), [this] { m_role.isReady = !m_isStopping; });
 }
 
 std::string GatewayDaemon::Parts::metricsText() const
 {
     GatewayHealth health;
-    for (const auto &part : m_parts)
-        part->links.addTo(health.links);
-    health.newsAge = Duration(m_newsAge.load(std::memory_order_relaxed));
+    for (const auto &worker : m_gateways)
+        worker->addLinkStates(health.links);
+    health.stateAge = Duration(m_stateAge.load(std::memory_order_relaxed));
     return m_stats.prometheusText() +
            gatewayGauges(*m_views.pin(), health, m_storeCalls, m_timers.now());
 }
 
-void GatewayDaemon::Parts::exportCounts(WorkerPart &part, ExportedCounts &exported)
-{
-    const CallCounts calls = part.counts;
-    const LinkCounts links = part.connections.counts();
-    m_stats.add(Counter::SubRequests, calls.sent - exported.calls.sent);
-    m_stats.add(Counter::Hedges, calls.hedged - exported.calls.hedged);
-    m_stats.add(Counter::Retries, calls.retried - exported.calls.retried);
-    m_stats.add(Counter::BudgetExhausted, calls.budgetExhausted - exported.calls.budgetExhausted);
-    m_stats.add(Counter::ConnectionsOpened, links.opened - exported.links.opened);
-    m_stats.add(Counter::SilentConnections, links.timedOut - exported.links.timedOut);
-    exported = {calls, links};
-    part.links.set(part.connections.states());
-    part.worker.timers.schedule(ExportInterval,
-                                [this, &part, &exported] { exportCounts(part, exported); });
-}
-
-void GatewayDaemon::Parts::exportNewsAge()
+void GatewayDaemon::Parts::exportStateAge()
 {
-    m_newsAge.store(m_relay->newsAge().count(), std::memory_order_relaxed);
-    m_timers.schedule(ExportInterval, [this] { exportNewsAge(); });
+    m_stateAge.store(m_relay->stateAge().count(), std::memory_order_relaxed);
+    m_timers.schedule(ExportInterval, [this] { exportStateAge(); });
 }
 
 void GatewayDaemon::Parts::onBusy(bool isBusy)
@@ -443,7 +326,7 @@
     const ServingViewPin view = m_views.pin();
     m_mostListed = view->routes ? mostListedDaemons(*view->routes) : members.size();
     // The first member is this daemon.
-    m_isCandidate = wouldBeListed(members, 0, m_mostListed);
+    m_role.isCandidate = wouldBeListed(members, 0, m_mostListed);
     m_builder.setEntries(selectEntries(members, m_mostListed), static_cast<std::uint32_t>(present));
 }
 
@@ -470,7 +353,7 @@
 void GatewayDaemon::Parts::beginStop()
 {
     m_isStopping = true;
-    m_isReady = false;
+    m_role.isReady = false;
     const TimePoint end = m_timers.now() + m_settings.stopGrace - StopReserve;
     logEvent(LogLevel::Info, "leaving", {{"running", runningCalls()}});
     m_membership->announceLeaving();
@@ -492,8 +375,8 @@
 std::uint32_t GatewayDaemon::Parts::runningCalls() const
 {
     std::uint32_t running = 0;
-    for (const auto &part : m_parts)
-        running += part->gateway.running();
+    for (const auto &worker : m_gateways)
+        running += worker->gateway().running();
     return running;
 }
 
--- a/src/process/gateway_metrics.cpp
+++ b/src/process/gateway_metrics.cpp
@@ -48,7 +48,8 @@
          {std::pair("opening", health.links.opening), std::pair("idle", health.links.idle),
           std::pair("busy", health.links.busy)})
         gauge(text, "searcher_connections", labels({{"state", state}}), count);
-    gauge(text, "news_age_seconds", "", std::chrono::duration<double>(health.newsAge).count());
+    gauge(text, "fleet_state_age_seconds", "",
+          std::chrono::duration<double>(health.stateAge).count());
     gauge(text, "configuration_version", "",
           view.routes ? static_cast<double>(view.routes->version) : 0);
     gauge(text, "view_age_seconds", "",
--- a/src/process/gateway_metrics_p.h
+++ b/src/process/gateway_metrics_p.h
@@ -15,7 +15,7 @@
 {
     LinkStates links;
     /// Time since the store or a daemon that follows it was last heard.
-    Duration newsAge{};
+    Duration stateAge{};
 };
 
 /// Gauges of what a daemon believes, as Prometheus text: versions, numbers of searchers and of
--- /dev/null
+++ b/src/process/gateway_worker.cpp
@@ -0,0 +1,113 @@
+#include "process/gateway_worker_p.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace geraniumcart {
+
+namespace {
+
+/// Idle connections of a daemon that callers are sent to stay open for their next requests; those
+/// of another one only take a place that a listed daemon needs.
+constexpr std::chrono::seconds ListedIdleTime{60};
+constexpr std::chrono::milliseconds UnlistedIdleTime{200};
+/// Connections to searchers that appear together are opened spread over this time, since each
+/// opening holds a slot of the searcher for some ms and all daemons see it at the same moment.
+constexpr std::chrono::milliseconds WarmUpSpread{1000};
+/// Interval at which counts reach the metrics.
+constexpr std::chrono::seconds ExportInterval{1};
+
+} // namespace
+
+void SharedLinkStates::set(const LinkStates &states)
+{
+    m_opening.store(states.opening, std::memory_order_relaxed);
+    m_idle.store(states.idle, std::memory_order_relaxed);
+    m_busy.store(states.busy, std::memory_order_relaxed);
+}
+
+void SharedLinkStates::addTo(LinkStates &sum) const
+{
+    sum.opening += m_opening.load(std::memory_order_relaxed);
+    sum.idle += m_idle.load(std::memory_order_relaxed);
+    sum.busy += m_busy.load(std::memory_order_relaxed);
+}
+
+GatewayWorker::GatewayWorker(Worker &worker, const GatewaySettings &settings,
+                             const UpstreamHeaderNames &names, const ServingViewPublisher &views,
+                             const EntryRole &role, Stats &stats)
+    : m_worker(worker)
+    , m_callerAddress(settings.callerAddress)
+    , m_views(views)
+    , m_role(role)
+    , m_stats(stats)
+    , m_connections(worker.context, worker.timers, names)
+    , m_choice(settings.zone, std::random_device{}())
+    , m_gateway({worker.timers, m_connections, m_choice, m_calls}, views, stats)
+{
+}
+
+void GatewayWorker::start(std::function<void(bool isBusy)> busyChanged)
+{
+    exportCounts();
+    m_lag.emplace(m_worker.timers, std::move(busyChanged));
+    m_lag->start();
+}
+
+void GatewayWorker::postViewChanged()
+{
+    boost::asio::post(m_worker.context, [this] { onViewChanged(); });
+}
+
+void GatewayWorker::onViewChanged()
+{
+    const ServingViewPin view = m_views.pin();
+    const bool isListed = std::ranges::any_of(view->entries, [this](const EntryAddress &entry) {
+        return entry.address == m_callerAddress;
+    });
+    m_connections.setIdleTime(isListed ? ListedIdleTime : UnlistedIdleTime);
+    // Before it is listed for the first time a daemon prepares for its callers.
+    if (!isListed && (m_role.isReady || !m_role.isCandidate))
+        return;
+    std::minstd_rand random{std::random_device{}()};
+    std::uniform_int_distribution<Duration::rep> spread(0, Duration(WarmUpSpread).count());
+    std::unordered_set<std::string> present;
+    for (const auto &[name, service] : view->services)
+        for (const std::shared_ptr<Upstream> &upstream : service.upstreams) {
+            const std::string key = upstream->instanceId() + '@' + upstream->address();
+            present.insert(key);
+            if (!m_openedAhead.contains(key))
+                m_worker.timers.schedule(Duration(spread(random)),
+                                         [this, upstream, key] { openAhead(upstream, key); });
+        }
+    m_openedAhead = std::move(present);
+}
+
+void GatewayWorker::openAhead(const std::shared_ptr<Upstream> &upstream, const std::string &key)
+{
+    if (m_role.isCandidate)
+        m_connections.warmUp(upstream);
+    else
+        m_openedAhead.erase(key);
+}
+
+void GatewayWorker::exportCounts()
+{
+    const LinkCounts links = m_connections.counts();
+    m_stats.add(Counter::SubRequests, m_calls.sent - m_exportedCalls.sent);
+    m_stats.add(Counter::Hedges, m_calls.hedged - m_exportedCalls.hedged);
+    m_stats.add(Counter::Retries, m_calls.retried - m_exportedCalls.retried);
+    m_stats.add(Counter::BudgetExhausted,
+                m_calls.budgetExhausted - m_exportedCalls.budgetExhausted);
+    m_stats.add(Counter::ConnectionsOpened, links.opened - m_exportedLinks.opened);
+    m_stats.add(Counter::SilentConnections, links.timedOut - m_exportedLinks.timedOut);
+    m_exportedCalls = m_calls;
+    m_exportedLinks = links;
+    m_linkStates.set(m_connections.states());
+    m_worker.timers.schedule(ExportInterval, [this] { exportCounts(); });
+}
+
+} // namespace geraniumcart
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -12,22 +12,22 @@
 
 /// Members carried by one message; about 100 bytes each keep a heartbeat below two kilobytes.
 constexpr std::size_t GossipMembers = 16;
-/// Members that a message carries although all is told, in turns, so that news that a member has
-/// missed reaches it in the end.
+/// Members that a message carries in rotation when no change is left to send, so that a member that
+/// missed a change gets it later.
 constexpr std::size_t RefreshedMembers = 2;
-/// Messages that carry each change, times the logarithm of the number of members: three leave
-/// hardly any member untold, as published for SWIM.
+/// Messages that carry each change, times the logarithm of the number of members: three
+/// reach nearly every member, as published for SWIM.
 constexpr std::size_t TransmissionFactor = 3;
-/// A member that came this recently is told as much as a message holds.
+/// Messages to a member that joined this recently are filled up.
 constexpr std::chrono::milliseconds JoinTime{1500};
-/// Times after its start at which a member asks others for all members: gossip alone brings the
-/// last ones late. The second time covers members that start together.
-constexpr std::array<std::chrono::milliseconds, 2> AskAllAfter{std::chrono::milliseconds(1000),
-                                                               std::chrono::milliseconds(3000)};
-/// Members that are asked each time; one of them may be gone.
-constexpr std::size_t AskedForAll = 2;
-/// Sequence of a ping that asks for all members; heartbeats never reach it.
-constexpr std::uint64_t AskAllSequence = std::numeric_limits<std::uint64_t>::max();
+/// Times after its start at which a member requests the whole member list: gossip alone takes
+/// several seconds to complete it. The second time covers members that start together.
+constexpr std::array<std::chrono::milliseconds, 2> MemberListRequestTimes{
+        std::chrono::milliseconds(1000), std::chrono::milliseconds(3000)};
+/// Members that get each request; one of them may be gone.
+constexpr std::size_t MemberListSources = 2;
+/// Sequence of a ping that requests the member list; heartbeats never reach it.
+constexpr std::uint64_t MemberListSequence = std::numeric_limits<std::uint64_t>::max();
 /// Members that are told of a change of this one at once; gossip tells the others. Without a bound,
 /// daemons that start together send the square of their number.
 constexpr std::size_t BroadcastFanOut = 24;
@@ -97,8 +97,8 @@
     m_startedAt = m_timers.now();
     contactSeeds();
     probeNext();
-    for (const Duration after : AskAllAfter)
-        m_timers.schedule(after, [this] { askForAll(); });
+    for (const Duration after : MemberListRequestTimes)
+        m_timers.schedule(after, [this] { requestAllMembers(); });
 }
 
 std::vector<const Member *> Membership::shuffledPresent()
@@ -111,15 +111,15 @@
     return present;
 }
 
-void Membership::askForAll()
+void Membership::requestAllMembers()
 {
     std::vector<const Member *> asked = shuffledPresent();
-    asked.resize(std::min(asked.size(), AskedForAll));
+    asked.resize(std::min(asked.size(), MemberListSources));
     for (const Member *member : asked)
-        m_network.send(member->peerAddress, PeerPing{AskAllSequence, makeGossip(member->name)});
+        m_network.send(member->peerAddress, PeerPing{MemberListSequence, makeGossip(member->name)});
 }
 
-void Membership::tellAll(const std::string &address)
+void Membership::sendAllMembers(const std::string &address)
 {
     Gossip gossip;
     gossip.members.push_back(m_config.self);
@@ -262,8 +262,8 @@
 void Membership::onPing(const std::string &fromAddress, const PeerPing &ping)
 {
     takeGossip(fromAddress, ping.gossip);
-    if (ping.sequence == AskAllSequence) {
-        tellAll(fromAddress);
+    if (ping.sequence == MemberListSequence) {
+        sendAllMembers(fromAddress);
         return;
     }
     // Each message begins with its sender.
@@ -371,10 +371,10 @@
     std::vector<Peer *> peers;
     for (auto &[name, peer] : m_peers)
         peers.push_back(&peer);
-    // The least told news goes first, then members in turns.
-    const std::uint64_t told = TransmissionFactor * std::bit_width(m_peers.size());
-    const auto order = [told](const Peer *peer) {
-        return std::pair(std::min(peer->transmissions, told), peer->lastTold);
+    // Changes that were sent least go first, then members in rotation.
+    const std::uint64_t enough = TransmissionFactor * std::bit_width(m_peers.size());
+    const auto order = [enough](const Peer *peer) {
+        return std::pair(std::min(peer->transmissions, enough), peer->lastSent);
     };
     const std::size_t count = std::min(peers.size(), GossipMembers - 1);
     std::partial_sort(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(count),
@@ -383,10 +383,10 @@
     ++m_gossipsMade;
     const bool isReceiverSettled = isSettled(receiver);
     for (std::size_t i = 0; i < count; ++i) {
-        if (isReceiverSettled && i >= RefreshedMembers && peers[i]->transmissions >= told)
+        if (isReceiverSettled && i >= RefreshedMembers && peers[i]->transmissions >= enough)
             break;
         ++peers[i]->transmissions;
-        peers[i]->lastTold = m_gossipsMade;
+        peers[i]->lastSent = m_gossipsMade;
         gossip.members.push_back(peers[i]->member);
     }
     m_exchange.fill(gossip);
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -132,16 +132,28 @@
     Kind kind;
 };
 
-template <class Kind, std::size_t Count>
-bool takeChoice(Kind &target, std::string_view text, const std::array<Choice<Kind>, Count> &choices)
+/// Takes over one of @p Choices; the setting is @p Member.
+template <auto Member, const auto &Choices>
+bool takeChoice(Settings &settings, std::string_view text)
 {
-    const auto found = std::ranges::find(choices, text, &Choice<Kind>::text);
-    if (found == choices.end())
+    const auto found = std::ranges::find_if(
+            Choices, [text](const auto &choice) { return choice.text == text; });
+    if (found == Choices.end())
         return false;
-    target = found->kind;
+    settings.*Member = found->kind;
     return true;
 }
 
+constexpr std::array RoutingChoices{Choice<RoutingMode>{"owner", RoutingMode::Owner},
+                                    Choice<RoutingMode>{"direct", RoutingMode::Direct}};
+constexpr std::array ReplicaChoices{
+        Choice<ReplicaChoiceKind>{"least-loaded", ReplicaChoiceKind::LeastLoaded},
+        Choice<ReplicaChoiceKind>{"random", ReplicaChoiceKind::Random}};
+constexpr std::array HedgingChoices{Choice<HedgingKind>{"quantile", HedgingKind::Quantile},
+                                    Choice<HedgingKind>{"none", HedgingKind::None}};
+constexpr std::array AdmissionChoices{Choice<AdmissionKind>{"weighted", AdmissionKind::Weighted},
+                                      Choice<AdmissionKind>{"unlimited", AdmissionKind::Unlimited}};
+
 const std::array Specs{
         SettingSpec{"name", "GERANIUMCART_NAME", nullptr, AcceptedName,
                     "name of this daemon, unique among its peers",
@@ -189,37 +201,15 @@
                     }},
         SettingSpec{"routing", "GERANIUMCART_ROUTING", "owner", "owner, direct",
                     "whether a searcher has one owner daemon or every daemon sends to it",
-                    [](Settings &settings, std::string_view text) {
-                        constexpr std::array Choices{
-                                Choice<RoutingMode>{"owner", RoutingMode::Owner},
-                                Choice<RoutingMode>{"direct", RoutingMode::Direct}};
-                        return takeChoice(settings.routing, text, Choices);
-                    }},
+                    takeChoice<&Settings::routing, RoutingChoices>},
         SettingSpec{"choice", "GERANIUMCART_CHOICE", "least-loaded", "least-loaded, random",
-                    "how a replica is chosen",
-                    [](Settings &settings, std::string_view text) {
-                        constexpr std::array Choices{
-                                Choice<ReplicaChoiceKind>{"least-loaded",
-                                                          ReplicaChoiceKind::LeastLoaded},
-                                Choice<ReplicaChoiceKind>{"random", ReplicaChoiceKind::Random}};
-                        return takeChoice(settings.choice, text, Choices);
-                    }},
+                    "how a replica is chosen", takeChoice<&Settings::choice, ReplicaChoices>},
         SettingSpec{"hedging", "GERANIUMCART_HEDGING", "quantile", "quantile, none",
                     "when a straggling shard is hedged",
-                    [](Settings &settings, std::string_view text) {
-                        constexpr std::array Choices{
-                                Choice<HedgingKind>{"quantile", HedgingKind::Quantile},
-                                Choice<HedgingKind>{"none", HedgingKind::None}};
-                        return takeChoice(settings.hedging, text, Choices);
-                    }},
+                    takeChoice<&Settings::hedging, HedgingChoices>},
         SettingSpec{"admission", "GERANIUMCART_ADMISSION", "weighted", "weighted, unlimited",
                     "how callers' requests are admitted",
-                    [](Settings &settings, std::string_view text) {
-                        constexpr std::array Choices{
-                                Choice<AdmissionKind>{"weighted", AdmissionKind::Weighted},
-                                Choice<AdmissionKind>{"unlimited", AdmissionKind::Unlimited}};
-                        return takeChoice(settings.admission, text, Choices);
-                    }},
+                    takeChoice<&Settings::admission, AdmissionChoices>},
         SettingSpec{"hedge-share", "GERANIUMCART_HEDGE_SHARE", "0.05", "0 to 1",
                     "share of first attempts that may be hedged",
                     [](Settings &settings, std::string_view text) {
--- a/src/process/upstream.cpp
+++ b/src/process/upstream.cpp
@@ -18,10 +18,10 @@
 constexpr std::uint32_t MaxDoublings = 4;
 /// Weight of one request in the share of refused and failed ones: one in eight shows a searcher
 /// that loses four of ten within about ten requests, and a single one counts little.
-constexpr double LossWeight = 1.0 / 8;
+constexpr double FailureWeight = 1.0 / 8;
 /// Time in which half of the share fades while nothing is lost, so that the searcher is tried
 /// again.
-constexpr std::chrono::seconds LossHalfLife{2};
+constexpr std::chrono::seconds FailureHalfLife{2};
 /// Pause after a refusal: a full searcher has room again after about one request.
 constexpr std::chrono::milliseconds RefusalPause{15};
 
@@ -42,8 +42,8 @@
                                        : smoothed + (latency.count() - smoothed) / SmoothingDivisor;
     m_latency.store(std::max<Duration::rep>(next, 1), std::memory_order_relaxed);
     // Workers may overwrite each other's update, which the next one makes up for.
-    m_lossShare.store(m_lossShare.load(std::memory_order_relaxed) * (1 - LossWeight),
-                      std::memory_order_relaxed);
+    m_failureShare.store(m_failureShare.load(std::memory_order_relaxed) * (1 - FailureWeight),
+                         std::memory_order_relaxed);
     store(m_lastAnswer, now);
     store(m_lastProgress, now);
     store(m_suspectUntil, TimePoint());
@@ -56,7 +56,7 @@
     const std::uint32_t failures = m_failures.fetch_add(1, std::memory_order_relaxed);
     const Duration pause = FirstSuspicion * (1U << std::min(failures, MaxDoublings));
     store(m_suspectUntil, now + std::min<Duration>(pause, LongestSuspicion));
-    raiseLossShare(now);
+    raiseFailureShare(now);
 }
 
 void Upstream::noteRefusal(TimePoint now)
@@ -64,23 +64,23 @@
     noteEnded();
     store(m_lastProgress, now);
     store(m_suspectUntil, now + RefusalPause);
-    raiseLossShare(now);
+    raiseFailureShare(now);
 }
 
-void Upstream::raiseLossShare(TimePoint now)
+void Upstream::raiseFailureShare(TimePoint now)
 {
-    const double share = lossShare(now);
-    m_lossShare.store(share + (1 - share) * LossWeight, std::memory_order_relaxed);
-    store(m_lastLoss, now);
+    const double share = failureShare(now);
+    m_failureShare.store(share + (1 - share) * FailureWeight, std::memory_order_relaxed);
+    store(m_lastFailure, now);
 }
 
-double Upstream::lossShare(TimePoint now) const
+double Upstream::failureShare(TimePoint now) const
 {
-    const double share = m_lossShare.load(std::memory_order_relaxed);
+    const double share = m_failureShare.load(std::memory_order_relaxed);
     if (share == 0)
         return 0;
-    const std::chrono::duration<double> age = now - load(m_lastLoss);
-    return share * std::exp2(-age / LossHalfLife);
+    const std::chrono::duration<double> age = now - load(m_lastFailure);
+    return share * std::exp2(-age / FailureHalfLife);
 }
 
 Duration Upstream::silence(TimePoint now) const
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -23,7 +23,7 @@
 constexpr double ColdFactor = 1.6;
 /// A refused or failed request counts as this many answers: it takes an exchange, and the attempt
 /// that follows, if one may, comes out of a small budget.
-constexpr double LossCost = 4;
+constexpr double FailureCost = 4;
 /// Spread between daemons, so that they do not all pick the same searcher of two equal ones.
 constexpr double ChoiceSpread = 0.3;
 
@@ -56,7 +56,7 @@
     latency = std::max(latency, seconds(upstream.silence(now)));
     if (upstream.isCold(now))
         latency *= ColdFactor;
-    latency *= 1 + LossCost * upstream.lossShare(now);
+    latency *= 1 + FailureCost * upstream.failureShare(now);
     return std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(latency * (1 + upstream.inFlight())));
 }
--- a/src/version/catalog_codec.cpp
+++ b/src/version/catalog_codec.cpp
@@ -206,36 +206,42 @@
     return map;
 }
 
+/// Fills a record from the object @p value; it stays empty where the value is no object.
+template <class Record, class Fill>
+Record readRecord(const json::value &value, const std::string &path, FieldReader &reader, Fill fill)
+{
+    Record record;
+    if (const json::object *object = reader.asObject(value, path))
+        fill(*object, path + ".", record);
+    return record;
+}
+
 SearcherEntry readSearcher(const json::value &value, const std::string &path, FieldReader &reader)
 {
-    SearcherEntry entry;
-    const json::object *object = reader.asObject(value, path);
-    if (!object)
-        return entry;
-    const std::string prefix = path + ".";
-    entry.address = reader.text(*object, prefix, "address");
-    entry.service = reader.text(*object, prefix, "service");
-    entry.zone = reader.text(*object, prefix, "zone");
-    entry.instance = reader.text(*object, prefix, "instance", true);
-    entry.shard = reader.count(*object, prefix, "shard", 0, MaxShards - 1);
-    entry.backEndVersion = reader.text(*object, prefix, "backEndVersion", true);
-    entry.state = reader.state(*object, prefix);
-    return entry;
+    const auto fill = [&reader](const json::object &object, const std::string &prefix,
+                                SearcherEntry &entry) {
+        entry.address = reader.text(object, prefix, "address");
+        entry.service = reader.text(object, prefix, "service");
+        entry.zone = reader.text(object, prefix, "zone");
+        entry.instance = reader.text(object, prefix, "instance", true);
+        entry.shard = reader.count(object, prefix, "shard", 0, MaxShards - 1);
+        entry.backEndVersion = reader.text(object, prefix, "backEndVersion", true);
+        entry.state = reader.state(object, prefix);
+    };
+    return readRecord<SearcherEntry>(value, path, reader, fill);
 }
 
 EntryHost readEntry(const json::value &value, const std::string &path, FieldReader &reader)
 {
-    EntryHost host;
-    const json::object *object = reader.asObject(value, path);
-    if (!object)
-        return host;
-    const std::string prefix = path + ".";
-    host.name = reader.text(*object, prefix, "name");
-    host.zone = reader.text(*object, prefix, "zone");
-    host.address = reader.text(*object, prefix, "address");
-    host.peerAddress = reader.text(*object, prefix, "peerAddress", true);
-    host.state = reader.state(*object, prefix);
-    return host;
+    const auto fill = [&reader](const json::object &object, const std::string &prefix,
+                                EntryHost &host) {
+        host.name = reader.text(object, prefix, "name");
+        host.zone = reader.text(object, prefix, "zone");
+        host.address = reader.text(object, prefix, "address");
+        host.peerAddress = reader.text(object, prefix, "peerAddress", true);
+        host.state = reader.state(object, prefix);
+    };
+    return readRecord<EntryHost>(value, path, reader, fill);
 }
 
 json::value toMilliseconds(Duration duration)
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -36,7 +36,7 @@
 /// Time that the store has to answer a daemon that starts before its peers are asked for everything
 /// as well. The store answers in a few milliseconds, and copies from peers would be most of the
 /// bytes of a large fleet's start.
-constexpr std::chrono::milliseconds StoreHeadStart{150};
+constexpr std::chrono::milliseconds PeerRequestDelay{150};
 /// Interval at which a daemon that is cut off from store and watchers asks its peers.
 constexpr std::chrono::milliseconds AskInterval{1000};
 /// Objects of one frame; a frame holds up to 8 MB.
@@ -126,7 +126,7 @@
     }
     if (m_peers.empty() || std::exchange(m_hasAskedPeers, true))
         return;
-    m_timers.schedule(StoreHeadStart, [this] {
+    m_timers.schedule(PeerRequestDelay, [this] {
         if (m_lastContact == TimePoint())
             askPeers();
     });
--- a/tests/entry_selection_test.cpp
+++ b/tests/entry_selection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <geraniumcart/entry_selection.h>
 #include <geraniumcart/manual_timer_service.h>
+#include <geraniumcart/upstream_choice.h>
 
 #include <catch2/catch.hpp>
 
@@ -131,6 +132,24 @@
     CHECK(wouldBeListed(members, index, Unbounded) == expected);
 }
 
+// Guards against a bound that ignores the service with the fewest connections.
+TEST_CASE("the searchers' connections bound the listed daemons")
+{
+    const auto [failure, limits, expected] =
+            GENERATE(table<const char *, std::vector<std::uint32_t>, std::size_t>({
+                    {"the bound is above what a searcher takes", {52}, 46},
+                    {"the service with more connections decides", {52, 79}, 46},
+                    {"a small bound is rounded up", {26, 52}, 23},
+            }));
+    INFO(failure);
+    RouteTable routes;
+    for (const std::uint32_t limit : limits) {
+        const std::string name = "s" + std::to_string(limit);
+        routes.services[name] = {name, limit, 0};
+    }
+    CHECK(mostListedDaemons(routes) == expected);
+}
+
 // Guards against more daemons that prepare than searchers take connections.
 TEST_CASE("as many daemons prepare for callers as may be listed")
 {
--- a/tests/http_object_store_test.cpp
+++ b/tests/http_object_store_test.cpp
@@ -3,6 +3,7 @@
 #include "connection/endpoint_p.h"
 #include "connection/http_object_store_p.h"
 #include "fake_store.h"
+#include "support/silent_servers.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -15,6 +16,7 @@
 #include <vector>
 
 using namespace geraniumcart;
+using namespace geraniumcart::test;
 using namespace std::chrono_literals;
 using Tcp = boost::asio::ip::tcp;
 
@@ -127,84 +129,6 @@
     std::unique_ptr<HttpObjectStore> client;
 };
 
-/// Server that answers each connection's first request with fixed bytes.
-struct FixedServer
-{
-    FixedServer(boost::asio::io_context &context, std::string answer)
-        : acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , socket(context)
-        , bytes(std::move(answer))
-    {
-        acceptor.async_accept(socket, [this](boost::system::error_code) {
-            boost::asio::async_read_until(
-                    socket, buffer, "\r\n\r\n", [this](boost::system::error_code, std::size_t) {
-                        boost::asio::async_write(
-                                socket, boost::asio::buffer(bytes),
-                                [this](boost::system::error_code, std::size_t) { socket.close(); });
-                    });
-        });
-    }
-
-    Tcp::acceptor acceptor;
-    Tcp::socket socket;
-    boost::asio::streambuf buffer;
-    std::string bytes;
-};
-
-/// Server whose first connections answer one request each and then go silent; later ones answer
-/// every request.
-struct SilencedServer
-{
-    struct Connection
-    {
-        explicit Connection(Tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        Tcp::socket socket;
-        boost::asio::streambuf buffer;
-        bool isSilent = false;
-    };
-
-    SilencedServer(boost::asio::io_context &context, std::size_t count)
-        : acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , silenced(count)
-    {
-        accept();
-    }
-
-    void accept()
-    {
-        acceptor.async_accept([this](boost::system::error_code error, Tcp::socket socket) {
-            if (error)
-                return;
-            connections.push_back(std::make_unique<Connection>(std::move(socket)));
-            read(*connections.back(), connections.size() <= silenced);
-            accept();
-        });
-    }
-
-    void read(Connection &connection, bool goesSilent)
-    {
-        boost::asio::async_read_until(
-                connection.socket, connection.buffer, "\r\n\r\n",
-                [this, &connection, goesSilent](boost::system::error_code error, std::size_t size) {
-                    if (error || connection.isSilent)
-                        return;
-                    connection.buffer.consume(size);
-                    connection.isSilent = goesSilent;
-                    boost::asio::write(connection.socket, boost::asio::buffer(answer), error);
-                    read(connection, goesSilent);
-                });
-    }
-
-    Tcp::acceptor acceptor;
-    std::size_t silenced;
-    std::string answer = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-    std::vector<std::unique_ptr<Connection>> connections;
-};
-
 } // namespace
 
 // Guards against conditional updates that pass on a stale version, versions that repeat, and keys
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -1,3 +1,5 @@
+#include "support/captured_output.h"
+
 #include <catch2/catch.hpp>
 
 #include "process/log_p.h"
@@ -12,34 +14,7 @@
 #include <unistd.h>
 
 using namespace geraniumcart;
-
-namespace {
-
-/// What @p write sends to a descriptor of the process.
-template <class Write>
-std::string capture(int descriptor, Write write)
-{
-    std::FILE *file = std::tmpfile();
-    REQUIRE(file);
-    const int saved = ::dup(descriptor);
-    ::dup2(::fileno(file), descriptor);
-    write();
-    ::dup2(saved, descriptor);
-    ::close(saved);
-    std::string result(static_cast<std::size_t>(std::ftell(file) >= 0 ? 65536 : 0), '\0');
-    std::rewind(file);
-    result.resize(std::fread(result.data(), 1, result.size(), file));
-    std::fclose(file);
-    return result;
-}
-
-template <class Write>
-std::string captureStderr(Write write)
-{
-    return capture(STDERR_FILENO, write);
-}
-
-} // namespace
+using namespace geraniumcart::test;
 
 // Guards against a daemon whose log does not reach its standard output, or reaches it in pieces.
 TEST_CASE("a daemon's events go to standard output while its log is open")
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -191,7 +191,8 @@
     for (const char *line :
          {"geraniumcart_searchers{service=\"desk\"} 2",
           "geraniumcart_store_calls_total{kind=\"searchers\",result=\"answered\"} ",
-          "geraniumcart_searcher_connections{state=\"idle\"} ", "geraniumcart_news_age_seconds 0.",
+          "geraniumcart_searcher_connections{state=\"idle\"} ",
+          "geraniumcart_fleet_state_age_seconds 0.",
           "geraniumcart_request_queue_seconds_count{tenant=\"127.0.0.1\",class=\"all\"} 1"}) {
         INFO(line);
         CHECK(metrics.body().find(line) != std::string::npos);
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -1,4 +1,5 @@
 #include "records.h"
+#include "support/captured_output.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -6,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 using namespace geraniumcart;
+using namespace geraniumcart::test;
 using namespace std::chrono_literals;
 namespace json = boost::json;
 
@@ -123,6 +125,40 @@
     CHECK(table->callers.idleTimeout == 15s);
 }
 
+// Guards against a field that falls back to a default without a trace.
+TEST_CASE("a default that replaces a field is logged with the field and its owner")
+{
+    const auto [failure, field, value,
+                found] = GENERATE(table<const char *, const char *, const char *, const char *>({
+            {"a missing number of attempts goes unnoticed", "attempts", "", "nothing"},
+            {"a text is taken as a number of attempts", "attempts", R"("2")", "another type"},
+            {"a missing objective goes unnoticed", "target_latency_ms", "", "nothing"},
+            {"a missing rank goes unnoticed", "priority", "", "nothing"},
+    }));
+    INFO(failure);
+    json::object route{{"name", "shop"},       {"host", "h"},
+                       {"path_prefix", "/s/"}, {"route_type", "idempotent"},
+                       {"timeout_ms", 300},    {"target_latency_ms", 50},
+                       {"priority", 2},        {"attempts", 2},
+                       {"service", "a"}};
+    const auto parse = [&route] {
+        std::string reason;
+        const json::object spec{
+                {"config_version", 1}, {"routes", {route}}, {"services", json::array()}};
+        REQUIRE(platform::parseRouteTable(spec, reason));
+    };
+    CHECK(captureStderr(parse).find("fieldDefaulted") == std::string::npos);
+    if (*value == '\0')
+        route.erase(field);
+    else
+        route[field] = json::parse(value);
+    const std::string line = captureStderr(parse);
+    for (const char *part : {"fieldDefaulted", "shop", field, found}) {
+        INFO(part);
+        CHECK(line.find(part) != std::string::npos);
+    }
+}
+
 TEST_CASE("a configuration without its lists is refused")
 {
     const auto [failure, text] = GENERATE(table<const char *, const char *>({
--- a/tests/platform_store_watch_test.cpp
+++ b/tests/platform_store_watch_test.cpp
@@ -277,3 +277,21 @@
     // A stale list, a lost watch, a current list and the watch that waits.
     CHECK(server.heads.size() == 4);
 }
+
+// Guards against a watcher that goes on as current although the store refuses it.
+TEST_CASE("a failed call is reported before the next answer")
+{
+    const auto [failure, answer, isLost] = GENERATE(table<const char *, RawAnswer, bool>({
+            {"a good answer counts as a loss",
+             answerWith(200, R"({"items":[],"has_more":false,"current_rev":5})"), false},
+            {"a busy store counts as one that answers", answerWith(503, "{}"), true},
+            {"a reset goes unnoticed", RawAnswer{"", RawAnswer::Then::Reset}, true},
+            {"an answer that cannot be read counts as one", answerWith(200, "no json"), true},
+    }));
+    INFO(failure);
+    Cell cell([listAnswer = answer](const std::string &head) {
+        return head.find("watch=") == std::string::npos ? listAnswer : RawAnswer{""};
+    });
+    cell.context.run_for(80ms);
+    CHECK((cell.heard.lost > 0) == isLost);
+}
--- /dev/null
+++ b/tests/support/booking.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <geraniumcart/booking.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace geraniumcart::test {
+
+/// Size of the service that bookings go to.
+inline constexpr std::uint32_t Shards = 4;
+inline constexpr std::uint32_t Replicas = 3;
+
+inline BookingRequest makeBooking(TimePoint deadline, std::string key,
+                                  std::string body = "\"lens\"")
+{
+    return {"s",       "club",
+            "night-7", std::move(key),
+            deadline,  std::make_shared<const std::string>(std::move(body))};
+}
+
+} // namespace geraniumcart::test
--- a/tests/upstream_connections_test.cpp
+++ b/tests/upstream_connections_test.cpp
@@ -260,3 +260,22 @@
     CHECK(cell.exchange("r2")->reply);
     CHECK(cell.server.connections == connections);
 }
+
+// Guards against connections that the metrics show in the wrong state.
+TEST_CASE("connections are counted by state")
+{
+    const auto statesOf = [](const Cell &cell) {
+        const LinkStates states = cell.connections.states();
+        return std::vector<std::uint32_t>{states.opening, states.idle, states.busy};
+    };
+    Cell cell([](const std::string &head) {
+        return RawAnswer{goodAnswer(headerValue(head, "Call-Id"))};
+    });
+    CHECK(statesOf(cell) == std::vector<std::uint32_t>{0, 0, 0});
+    cell.send("r1");
+    CHECK(statesOf(cell) == std::vector<std::uint32_t>{1, 0, 0});
+    cell.settle(200ms);
+    CHECK(statesOf(cell) == std::vector<std::uint32_t>{0, 1, 0});
+    cell.send("r2");
+    CHECK(statesOf(cell) == std::vector<std::uint32_t>{0, 0, 1});
+}
--- a/tools/fake_store.cpp
+++ b/tools/fake_store.cpp
@@ -1,4 +1,5 @@
 #include "fake_store.h"
+#include "fake_store_codec.h"
 
 #include "connection/http_client_p.h"
 
@@ -8,11 +9,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+
 #include <boost/json.hpp>
-#include <boost/url/parse.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <set>
 #include <utility>
@@ -27,133 +27,6 @@
 
 namespace {
 
-constexpr std::string_view ObjectsPath = "/v1/objects";
-constexpr std::string_view ControlPath = "/control";
-/// Longest wait of one watch, whatever the caller asks for.
-constexpr std::chrono::milliseconds MaxWatchWait{60000};
-
-/// One call on the objects, as its request line and fields say.
-struct ObjectCall
-{
-    enum class Kind : std::uint8_t { Get, Watch, List, Put, Remove, Control, Bad };
-
-    Kind kind = Kind::Bad;
-    /// Key, or prefix of a list.
-    std::string key;
-    std::uint64_t after = 0;
-    std::chrono::milliseconds wait{};
-    /// Absent for a write without a condition.
-    std::optional<std::uint64_t> expected;
-
-    bool isWrite() const { return kind == Kind::Put || kind == Kind::Remove; }
-};
-
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
-/// Reads the parameters of a GET on one object; false when one is malformed.
-bool readWatch(const boost::urls::url_view &url, ObjectCall &call)
-{
-    for (const auto &parameter : url.params()) {
-        const std::optional<std::uint64_t> number = parseNumber(std::string(parameter.value));
-        if (!number)
-            return false;
-        if (parameter.key == "after") {
-            call.kind = ObjectCall::Kind::Watch;
-            call.after = *number;
-        } else if (parameter.key == "waitMs") {
-            const auto longest = static_cast<std::uint64_t>(MaxWatchWait.count());
-            call.wait = std::chrono::milliseconds(std::min(*number, longest));
-        }
-    }
-    return true;
-}
-
-ObjectCall parseCall(const HttpRequest &request)
-{
-    const auto parsed = boost::urls::parse_origin_form(request.target());
-    if (!parsed)
-        return {};
-    const boost::urls::url_view &url = *parsed;
-    const std::string path = url.path();
-    ObjectCall call;
-    if (path == ControlPath) {
-        call.kind = ObjectCall::Kind::Control;
-        return call;
-    }
-    if (path == ObjectsPath && request.method() == http::verb::get) {
-        call.kind = ObjectCall::Kind::List;
-        for (const auto &parameter : url.params())
-            if (parameter.key == "prefix")
-                call.key = parameter.value;
-        return call;
-    }
-    if (!path.starts_with(std::string(ObjectsPath) + '/') || path.size() <= ObjectsPath.size() + 1)
-        return {};
-    call.key = path.substr(ObjectsPath.size() + 1);
-    if (request.method() == http::verb::get) {
-        call.kind = ObjectCall::Kind::Get;
-        return readWatch(url, call) ? call : ObjectCall{};
-    }
-    if (request.count(http::field::if_match) > 0) {
-        call.expected = parseNumber(request[http::field::if_match]);
-        if (!call.expected)
-            return {};
-    }
-    if (request.method() == http::verb::put)
-        call.kind = ObjectCall::Kind::Put;
-    else if (request.method() == http::verb::delete_ && call.expected)
-        call.kind = ObjectCall::Kind::Remove;
-    return call;
-}
-
-/// Takes over the fields that @p text names; false when one is malformed.
-bool readFaults(const std::string &text, FakeStoreFaults &faults)
-{
-    beast::error_code error;
-    const json::value document = json::parse(text, error);
-    if (error || !document.is_object())
-        return false;
-    const auto readFlag = [](const json::value &value, bool &flag) {
-        if (const bool *given = value.if_bool())
-            flag = *given;
-        return value.is_bool();
-    };
-    const auto readCount = [&error](const json::value &value, std::uint32_t &count) {
-        const auto given = value.to_number<std::uint32_t>(error);
-        if (!error)
-            count = given;
-        return !error;
-    };
-    for (const auto &[name, value] : document.get_object()) {
-        std::uint32_t delayMs = 0;
-        bool isRead = false;
-        if (name == "outage") {
-            isRead = readFlag(value, faults.outage);
-        } else if (name == "refuse") {
-            isRead = readFlag(value, faults.refuse);
-        } else if (name == "unavailable") {
-            isRead = readFlag(value, faults.unavailable);
-        } else if (name == "loseAnswers") {
-            isRead = readCount(value, faults.loseAnswers);
-        } else if (name == "loseRequests") {
-            isRead = readCount(value, faults.loseRequests);
-        } else if (name == "delayMs") {
-            isRead = readCount(value, delayMs);
-            faults.delay = std::chrono::milliseconds(delayMs);
-        }
-        if (!isRead)
-            return false;
-    }
-    return true;
-}
-
 http::status statusOf(StoreError error)
 {
     switch (error) {
