Log where objects of the store come from, and the age of answers by kind

The hypotheses of docs/incidents/configuration-late.md cannot be told apart by logs: no line says from whom a daemon has a version, and no metric shows that one kind of objects gets no answers while another does.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -78,7 +78,7 @@
     // Process the messages of peers.
     void onStateHeartbeat(const std::string &peerAddress, const PeerStateHeartbeat &heartbeat);
     void onPull(const std::string &peerAddress, const PeerObjectPull &pull);
-    void onPush(const PeerObjectPush &push);
+    void onPush(const std::string &peerAddress, const PeerObjectPush &push);
 
     bool isWatching() const { return m_isWatching; }
     /// Time since the last answer of the store or the last heartbeat from a watcher. Before the
@@ -91,7 +91,11 @@
     std::uint64_t digest() const { return m_digest; }
 
 private:
-    void offer(StoredObject object);
+    /// @param source address of the peer that sent the object; empty for the store
+    void offer(StoredObject object, const std::string &source);
+    /// Logs the objects that were received in this turn of the event loop, one line for each
+    /// source.
+    void logReceived();
     /// True for an object that this daemon does not hold although it is older than the last list of
     /// its kind. A peer that was cut off or paused may still hold it.
     bool wasDeletedBeforeList(const StoredObject &object) const;
@@ -120,6 +124,15 @@
     std::size_t m_nextPeer = 0;
     /// Changes that have not been sent to followers yet.
     std::map<std::string, StoredObject> m_pendingChanges;
+    /// Objects that were received from one source and not logged yet.
+    struct Received
+    {
+        std::size_t objects = 0;
+        std::uint64_t newest = 0;
+        std::string newestKey;
+    };
+    /// By source, see offer().
+    std::map<std::string, Received> m_received;
     /// Revision of the last complete list, by prefix of the keys.
     std::map<std::string, std::uint64_t, std::less<>> m_listRevisions;
     std::uint64_t m_digest = 0;
--- a/include/geraniumcart/store_calls.h
+++ b/include/geraniumcart/store_calls.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <geraniumcart/timer_service.h>
+
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace geraniumcart {
@@ -31,7 +34,7 @@
 const char *toString(StoreCallResult result);
 
 /// Counts the calls of this daemon to the store by kind and result, and the objects in its answers
-/// that cannot be used. Thread-safe.
+/// that cannot be used. Also holds when the store last answered for each kind. Thread-safe.
 class StoreCallCounts
 {
 public:
@@ -55,7 +58,26 @@
         return m_unreadable[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed);
     }
 
+    /// Records that the store has just answered a list or watch call for @p kind.
+    void recordAnswer(StoredKind kind, TimePoint now)
+    {
+        m_lastAnswers[static_cast<std::size_t>(kind)].store(now.time_since_epoch().count(),
+                                                            std::memory_order_relaxed);
+    }
+    /// @return time since the last answer to a list or watch call for @p kind; std::nullopt before
+    /// the first
+    std::optional<Duration> answerAge(StoredKind kind, TimePoint now) const
+    {
+        const Duration::rep last =
+                m_lastAnswers[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed);
+        if (last == 0)
+            return std::nullopt;
+        return now - TimePoint(Duration(last));
+    }
+
 private:
+    /// 0 before the first answer.
+    std::array<std::atomic<Duration::rep>, StoredKinds> m_lastAnswers{};
     std::array<std::atomic<std::uint64_t>, StoredKinds> m_unreadable{};
     std::array<std::array<std::atomic<std::uint64_t>, StoreCallResults>, StoredKinds> m_counts{};
 };
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -426,7 +426,7 @@
     else if (const auto *pull = std::get_if<PeerObjectPull>(&message))
         m_relay->onPull(peer, *pull);
     else if (const auto *push = std::get_if<PeerObjectPush>(&message))
-        m_relay->onPush(*push);
+        m_relay->onPush(peer, *push);
     else
         logEvent(LogLevel::Warn, "peerMessageIgnored", {{"peer", peer}});
 }
--- a/src/process/gateway_metrics.cpp
+++ b/src/process/gateway_metrics.cpp
@@ -26,13 +26,16 @@
     return text + '}';
 }
 
-std::string storeCalls(const StoreCallCounts &calls)
+std::string storeCalls(const StoreCallCounts &calls, TimePoint now)
 {
     std::string text;
     for (std::size_t kind = 0; kind < StoredKinds; ++kind) {
         const auto ofKind = static_cast<StoredKind>(kind);
         gauge(text, "store_objects_unreadable_total", labels({{"kind", toString(ofKind)}}),
               static_cast<double>(calls.unreadable(ofKind)));
+        if (const auto age = calls.answerAge(ofKind, now))
+            gauge(text, "store_answer_age_seconds", labels({{"kind", toString(ofKind)}}),
+                  std::chrono::duration<double>(*age).count());
         for (std::size_t result = 0; result < StoreCallResults; ++result) {
             const auto callResult = static_cast<StoreCallResult>(result);
             gauge(text, "store_calls_total",
@@ -48,7 +51,7 @@
 std::string gatewayGauges(const ServingView &view, const GatewayHealth &health,
                           const StoreCallCounts &calls, TimePoint now)
 {
-    std::string text = storeCalls(calls);
+    std::string text = storeCalls(calls, now);
     for (const auto &[state, count] :
          {std::pair("opening", health.links.opening), std::pair("idle", health.links.idle),
           std::pair("busy", health.links.busy)})
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -221,7 +221,7 @@
     m_timers.schedule(StateHeartbeatInterval, [this] { sendHeartbeats(); });
 }
 
-void FleetRelay::offer(StoredObject object)
+void FleetRelay::offer(StoredObject object, const std::string &source)
 {
     const StoredObject *stored = m_replica.find(object.key);
     const std::uint64_t before = stored ? hashOf(*stored) : 0;
@@ -230,6 +230,14 @@
     if (!m_replica.offer(std::move(object)))
         return;
     m_digest ^= before ^ after;
+    if (m_received.empty())
+        m_timers.schedule(Duration::zero(), [this] { logReceived(); });
+    Received &received = m_received[source];
+    ++received.objects;
+    if (const std::uint64_t version = m_replica.versionOf(key); version >= received.newest) {
+        received.newest = version;
+        received.newestKey = key;
+    }
     // Changes received from another watcher are forwarded too, because it has other followers.
     if (m_followers.empty())
         return;
@@ -238,6 +246,16 @@
     m_pendingChanges[key] = *m_replica.find(key);
 }
 
+void FleetRelay::logReceived()
+{
+    for (const auto &[source, received] : std::exchange(m_received, {}))
+        logEvent(LogLevel::Info, "objectsReceived",
+                 {{"source", source.empty() ? "store" : source},
+                  {"objects", received.objects},
+                  {"key", received.newestKey},
+                  {"revision", received.newest}});
+}
+
 void FleetRelay::onStoredObject(StoredObject object)
 {
     const StoredObject *stored = m_replica.find(object.key);
@@ -247,7 +265,7 @@
     // revision is late: the object has been created again since, as another watcher reported.
     if (object.value.empty() && object.version == stored->version)
         ++object.version;
-    offer(std::move(object));
+    offer(std::move(object), {});
 }
 
 void FleetRelay::onObjectList(const std::string &prefix, const std::set<std::string> &keys,
@@ -261,7 +279,7 @@
             continue;
         object.version = revision;
         object.value.clear();
-        offer(std::move(object));
+        offer(std::move(object), {});
     }
 }
 
@@ -311,11 +329,11 @@
         m_network.send(peerAddress, std::move(push));
 }
 
-void FleetRelay::onPush(const PeerObjectPush &push)
+void FleetRelay::onPush(const std::string &peerAddress, const PeerObjectPush &push)
 {
     for (const StoredObject &object : push.objects)
         if (!wasDeletedBeforeList(object))
-            offer(object);
+            offer(object, peerAddress);
 }
 
 bool FleetRelay::wasDeletedBeforeList(const StoredObject &object) const
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -81,7 +81,7 @@
                 ++pulls;
                 relay.onPull(from, *pull);
             } else if (const auto *push = std::get_if<PeerObjectPush>(&message))
-                relay.onPush(*push);
+                relay.onPush(from, *push);
         });
     }
     /// Advances time. Each watching daemon reads the store every 800 ms at its own offset, so that
@@ -216,7 +216,7 @@
     Fleet::Node &node = *fleet.nodes["d0"];
     node.relay.onStoredObject({"servers/known", 45, "old"});
     node.relay.onObjectList("servers/", {"servers/known"}, 50, isComplete);
-    node.relay.onPush({{{key, version, "value"}}});
+    node.relay.onPush("peer", {{{key, version, "value"}}});
     CHECK((node.applied[key] == "value") == isApplied);
 }
 
@@ -336,7 +336,7 @@
     Fleet fleet(1);
     FleetRelay &relay = fleet.nodes["d0"]->relay;
     relay.onStoredObject({"servers/a", 10, "held"});
-    relay.onPush({{{"servers/a", version, value}}, false});
+    relay.onPush("peer", {{{"servers/a", version, value}}, false});
     CHECK(fleet.nodes["d0"]->applied["servers/a"] == expected);
 }
 
@@ -374,7 +374,7 @@
     INFO(failure);
     Fleet fleet(1);
     FleetRelay &relay = fleet.nodes["d0"]->relay;
-    relay.onPush({{{"servers/a", 449, "back"}}, false});
+    relay.onPush("peer", {{{"servers/a", 449, "back"}}, false});
     relay.onStoredObject({"servers/a", revision, ""});
     CHECK(fleet.nodes["d0"]->applied["servers/a"].empty() == isDeleted);
 }
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -212,6 +212,7 @@
           "geraniumcart_store_calls_total{kind=\"searchers\",result=\"answered\"} ",
           "geraniumcart_searcher_connections{state=\"idle\"} ",
           "geraniumcart_fleet_state_age_seconds 0.",
+          "geraniumcart_store_answer_age_seconds{kind=\"rollouts\"} ",
           "geraniumcart_request_queue_seconds_count{tenant=\"127.0.0.1\",class=\"all\"} 1"}) {
         INFO(line);
         CHECK(metrics.body().find(line) != std::string::npos);
