Let another sender of requests replace the client of the store

StoreSource gets an HttpRequestSender instead of making its HttpClient, so that the watches of a whole fleet can run on one manual clock against a store in memory. No change of behaviour.

--- a/src/connection/http_client_p.h
+++ b/src/connection/http_client_p.h
@@ -37,25 +37,34 @@
     std::size_t responseBytes = MaxAnswerBytes;
 };
 
-/// HTTP/1.1 client for one server. Keeps connections open and sends one request at a time on each.
-/// All functions and callbacks run on the thread of its io_context.
-class HttpClient
+/// Sends HTTP requests to one server.
+class HttpRequestSender
 {
 public:
     using Callback = std::function<void(HttpFailure, HttpResponse)>;
 
+    /// Discards pending callbacks without calling them.
+    virtual ~HttpRequestSender() = default;
+    /// Sends @p request. @p callback is called exactly once, after this function has returned.
+    /// @param limit timeout of the call, including the time to connect and to wait for a free
+    ///     connection
+    virtual void send(HttpRequest request, Duration limit, Callback callback) = 0;
+};
+
+/// HTTP/1.1 client for one server. Keeps connections open and sends one request at a time on each.
+/// All functions and callbacks run on the thread of its io_context.
+class HttpClient final : public HttpRequestSender
+{
+public:
     HttpClient(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server,
                HttpClientLimits limits = {});
-    /// Closes all connections and discards pending callbacks without calling them.
-    ~HttpClient();
+    /// Closes all connections.
+    ~HttpClient() override;
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sets the Host field of @p request and sends it. @p callback is called exactly once, after
-    /// this function has returned.
-    /// @param limit timeout of the call, including the time to connect and to wait for a free
-    ///     connection
-    void send(HttpRequest request, Duration limit, Callback callback);
+    /// Sets the Host field of @p request and sends it.
+    void send(HttpRequest request, Duration limit, Callback callback) override;
 
 private:
     struct Call;
--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -111,7 +111,8 @@
         : pages(std::move(listPages))
         , events(std::move(firstEvents))
         , server(context, [this](const std::string &head) { return answer(head); })
-        , source(context, timers, server.endpoint(), *this, fleet, rollouts, calls)
+        , source(std::make_unique<HttpClient>(context, server.endpoint()), timers, *this, fleet,
+                 rollouts, calls)
     {
         source.setWatching(true, 0);
     }
--- a/tests/platform_store_source_test.cpp
+++ b/tests/platform_store_source_test.cpp
@@ -46,7 +46,8 @@
                                       " Status\r\nContent-Length: " + std::to_string(body.size()) +
                                       "\r\n\r\n" + body};
                  })
-        , source(context, timers, server.endpoint(), ignoring, ignoring, ignoring, calls)
+        , source(std::make_unique<HttpClient>(context, server.endpoint()), timers, ignoring,
+                 ignoring, ignoring, calls)
     {
     }
     ~Fixture() { source.setWatching(false, 0); }
