State in heartbeats how long the sender's objects are current

Cause: three time limits added up. A watcher to which the store is silent noticed it when a call timed out, sent heartbeats until then, and its followers waited another 1.5 s. An answer for one kind of objects kept it current for all kinds. A daemon that replaced the watchers kept what it read to itself, so that those which the store did not answer had to find it by asking two peers a second.

A heartbeat now states how long the sender's objects are known to be current, counted from the store's answers, by the kind with the oldest one. A follower watches the store once that time has passed for all its watchers, and then sends what it learns to four neighbors on a ring.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -3,15 +3,19 @@
 #include <geraniumcart/config_spread.h>
 #include <geraniumcart/member.h>
 #include <geraniumcart/peer_messages.h>
+#include <geraniumcart/store_calls.h>
 #include <geraniumcart/timer_service.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace geraniumcart {
@@ -26,6 +30,12 @@
 std::vector<std::string> pickSources(const std::string &member,
                                      std::span<const std::string> watchers);
 
+/// @return the peer addresses of the members to which @p self sends changes while it has no
+/// watcher: those that precede it when all present members are ordered by a hash of their names.
+/// Every member has successors in this order, so that a change reaches all members if it reaches
+/// any.
+std::vector<std::string> pickNeighbors(const std::string &self, std::span<const Member> members);
+
 /// Receives the objects of the store. An object with an empty value has been deleted.
 class StoredObjectListener
 {
@@ -39,16 +49,20 @@
     virtual void onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                               std::uint64_t revision, bool isComplete) = 0;
     /// Called after each answer of the store.
-    virtual void onStoreContact() = 0;
+    /// @param validFor time from now after which the objects of @p kind may have changed without
+    /// this daemon having been told, unless the store answers again
+    virtual void onStoreContact(StoredKind kind, Duration validFor) = 0;
     /// Called after a call to the store failed or was refused.
     virtual void onStoreFailure() = 0;
 };
 
 /// Distributes the objects of the store to all daemons. A few daemons watch the store and send each
-/// change to the other daemons; a daemon that receives no heartbeat from a watcher watches the
-/// store itself. A daemon that starts while the store does not answer requests all objects from its
-/// peers, so that it can serve without the store. An object is never replaced by an older version.
-/// Used on the control thread only.
+/// change to the other daemons. Their heartbeats state for how long their objects are known to be
+/// current, for the kind of objects with the oldest answer. A daemon watches the store itself once
+/// that time has passed for all of its watchers; it then also sends what it learns to some
+/// neighbors, which the store may not answer. A daemon that starts while the store does not answer
+/// requests all objects from its peers, so that it can serve without the store. An object is never
+/// replaced by an older version. Used on the control thread only.
 class FleetRelay final : public StoredObjectListener
 {
 public:
@@ -72,7 +86,7 @@
     void onStoredObject(StoredObject object) override;
     void onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                       std::uint64_t revision, bool isComplete) override;
-    void onStoreContact() override;
+    void onStoreContact(StoredKind kind, Duration validFor) override;
     void onStoreFailure() override { m_hasStoreFailed = true; }
 
     // Process the messages of peers.
@@ -108,7 +122,15 @@
     void sendHeartbeats();
     void sendPendingChanges();
     bool isDesignated() const;
-    bool isCurrent() const;
+    /// @return time for which all objects of this daemon are known to be current; zero or less if
+    /// they may be outdated, or if this daemon does not watch the store
+    Duration validity() const;
+    /// @return true if a watcher has stated that its objects are current now
+    bool hasSource() const { return m_timers.now() < m_validUntil; }
+    /// Detects the loss and the return of all watchers.
+    void updateIsolation();
+    /// Schedules that a changed object is sent to other daemons.
+    void scheduleSending(const std::string &key);
 
     const std::string m_self;
     TimerService &m_timers;
@@ -118,12 +140,16 @@
     std::vector<std::string> m_watchers;
     /// Peer addresses of the members that this daemon sends changes to if it is a watcher.
     std::vector<std::string> m_followers;
+    /// Peer addresses of the members that this daemon sends changes to while it is isolated.
+    std::vector<std::string> m_neighbors;
     /// Peer addresses of all other members that respond.
     std::vector<std::string> m_peers;
     /// Index into m_peers (modulo its size) of the next peer to request objects from.
     std::size_t m_nextPeer = 0;
-    /// Changes that have not been sent to followers yet.
+    /// Changes that have not been sent to other daemons yet.
     std::map<std::string, StoredObject> m_pendingChanges;
+    /// Keys of the latest changes, with the time at which each was received.
+    std::deque<std::pair<TimePoint, std::string>> m_recentChanges;
     /// Objects that were received from one source and not logged yet.
     struct Received
     {
@@ -142,8 +168,17 @@
     /// True if the last call to the store failed.
     bool m_hasStoreFailed = false;
     bool m_hasScheduledPeerRequest = false;
-    /// Consecutive heartbeats whose digest differs from this daemon's.
-    std::uint32_t m_mismatches = 0;
+    /// True from the time at which the last watcher was lost until one returns. False until a
+    /// daemon that starts has had a watcher.
+    bool m_isIsolated = false;
+    /// Consecutive heartbeats of one watcher whose digest differs from this daemon's, by its peer
+    /// address.
+    std::map<std::string, std::uint32_t> m_mismatches;
+    /// Time until which a watcher has stated that its objects are current; the clock's epoch before
+    /// the first heartbeat.
+    TimePoint m_validUntil{};
+    /// Time until which the objects of each kind are known to be current, from the store's answers.
+    std::array<TimePoint, StoredKinds> m_kindValidUntil{};
     /// Time of the last heartbeat from a watcher; the clock's epoch before the first.
     TimePoint m_lastStateHeartbeat{};
     TimePoint m_lastContact{};
--- a/include/geraniumcart/peer_messages.h
+++ b/include/geraniumcart/peer_messages.h
@@ -152,6 +152,8 @@
 struct PeerStateHeartbeat
 {
     std::uint64_t digest = 0;
+    /// Time from now for which the sender's objects are known to be current.
+    Duration validFor{};
 };
 
 using PeerMessage = std::variant<PeerHello, PeerPing, PeerAck, PeerPingRequest, PeerObjectPull,
--- a/src/connection/peer_codec_decode.cpp
+++ b/src/connection/peer_codec_decode.cpp
@@ -244,6 +244,14 @@
     return out;
 }
 
+std::optional<PeerMessage> decodeStateHeartbeat(const wire::FleetBeat &heartbeat)
+{
+    PeerStateHeartbeat out{heartbeat.digest(), {}};
+    if (!decodeDuration(heartbeat.valid_for_us(), out.validFor))
+        return std::nullopt;
+    return out;
+}
+
 std::optional<PeerMessage> decodeSubBatch(const wire::SubBatch &batch)
 {
     PeerSubBatch out;
@@ -310,7 +318,7 @@
     case wire::Body::Release:
         return decodeRelease(*frame.body_as_Release());
     case wire::Body::FleetBeat:
-        return PeerStateHeartbeat{frame.body_as_FleetBeat()->digest()};
+        return decodeStateHeartbeat(*frame.body_as_FleetBeat());
     case wire::Body::NONE:
         break;
     }
--- a/src/connection/peer_codec_encode.cpp
+++ b/src/connection/peer_codec_encode.cpp
@@ -167,7 +167,8 @@
     Offset<void> operator()(const PeerStateHeartbeat &heartbeat)
     {
         kind = wire::Body::FleetBeat;
-        return wire::CreateFleetBeat(builder, heartbeat.digest).Union();
+        return wire::CreateFleetBeat(builder, heartbeat.digest, toMicroseconds(heartbeat.validFor))
+                .Union();
     }
     Offset<void> operator()(const PeerSubBatch &batch)
     {
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -23,17 +23,18 @@
 constexpr std::size_t SourcesPerMember = 2;
 /// Interval at which a watcher that is up to date sends heartbeats to its followers.
 constexpr std::chrono::milliseconds StateHeartbeatInterval{400};
-/// A daemon that received no heartbeat from a watcher for this long watches the store itself. This
-/// time plus the watch interval is below three seconds, the time within which daemons must stop
-/// using a searcher that leaves.
-constexpr std::chrono::milliseconds StateHeartbeatTimeout{1500};
-/// A watcher that got no answer from the store for this long is not up to date. The longest watch
-/// call waits three seconds.
-constexpr std::chrono::milliseconds ContactTimeout{3200};
+/// Longest validity that a heartbeat may state. A daemon that states a longer one by mistake must
+/// not keep its followers from watching the store.
+constexpr std::chrono::seconds MaxStatedValidity{5};
+/// Number of members that a daemon without a watcher sends changes to.
+constexpr std::size_t Neighbors = 4;
+/// Time for which changes are kept for neighbors. Daemons lose their watchers within about a second
+/// of each other.
+constexpr std::chrono::milliseconds RecentChangeTime{2000};
 /// Time for discovering peers after the start, before a daemon decides whether it is a watcher.
 constexpr std::chrono::milliseconds RoleDelay{500};
 /// Interval at which a daemon checks whether it has to watch the store.
-constexpr std::chrono::milliseconds TickInterval{200};
+constexpr std::chrono::milliseconds TickInterval{100};
 /// Number of consecutive heartbeats with another digest before all objects are compared. A single
 /// difference may be a change that is still in transit.
 constexpr std::uint32_t MismatchesBeforePull = 3;
@@ -121,6 +122,26 @@
     return sources;
 }
 
+std::vector<std::string> pickNeighbors(const std::string &self, std::span<const Member> members)
+{
+    std::vector<const Member *> order;
+    for (const Member &member : members)
+        if (isPresent(member.state) || member.name == self)
+            order.push_back(&member);
+    std::sort(order.begin(), order.end(), [](const Member *a, const Member *b) {
+        return std::pair(hashOf(a->name), a->name) < std::pair(hashOf(b->name), b->name);
+    });
+    const auto own = std::find_if(order.begin(), order.end(),
+                                  [&self](const Member *member) { return member->name == self; });
+    if (own == order.end())
+        return {};
+    std::rotate(order.begin(), own, order.end());
+    std::vector<std::string> neighbors;
+    for (std::size_t i = 1; i < order.size() && i <= Neighbors; ++i)
+        neighbors.push_back(order[order.size() - i]->peerAddress);
+    return neighbors;
+}
+
 FleetRelay::FleetRelay(std::string self, TimerService &timers, PeerNetwork &network,
                        Callbacks callbacks)
     : m_self(std::move(self))
@@ -143,6 +164,7 @@
 void FleetRelay::setMembers(const std::vector<Member> &members)
 {
     m_watchers = pickWatchers(members);
+    m_neighbors = pickNeighbors(m_self, members);
     m_followers.clear();
     m_peers.clear();
     for (const Member &member : members) {
@@ -153,6 +175,9 @@
         if (std::find(sources.begin(), sources.end(), m_self) != sources.end())
             m_followers.push_back(member.peerAddress);
     }
+    std::erase_if(m_mismatches, [this](const auto &entry) {
+        return std::find(m_peers.begin(), m_peers.end(), entry.first) == m_peers.end();
+    });
     if (m_peers.empty() || std::exchange(m_hasScheduledPeerRequest, true))
         return;
     m_timers.schedule(PeerRequestDelay, [this] {
@@ -175,27 +200,41 @@
     return std::find(m_watchers.begin(), m_watchers.end(), m_self) != m_watchers.end();
 }
 
-bool FleetRelay::isCurrent() const
+Duration FleetRelay::validity() const
 {
-    return m_isWatching && !m_hasStoreFailed && m_timers.now() - m_lastContact < ContactTimeout &&
-           m_lastContact != TimePoint();
+    if (!m_isWatching || m_hasStoreFailed)
+        return Duration::zero();
+    return *std::min_element(m_kindValidUntil.begin(), m_kindValidUntil.end()) - m_timers.now();
 }
 
 void FleetRelay::tick()
 {
-    const bool lacksHeartbeat = m_timers.now() - m_lastStateHeartbeat > StateHeartbeatTimeout;
-    const bool shouldWatch = isDesignated() || lacksHeartbeat;
+    updateIsolation();
+    const bool shouldWatch = isDesignated() || !hasSource();
     // A substitute calls the store less often while it fails, which ends when it becomes a watcher.
     if (m_isWatching && (!shouldWatch || (m_isSubstitute && isDesignated())))
         setWatching(false, 0);
     if (!m_isWatching && shouldWatch)
         setWatching(true, isDesignated() ? 0 : substitutes());
     // Neither the store nor a watcher responds; a peer may still have newer objects.
-    if (lacksHeartbeat && !isCurrent() && m_timers.now() - m_lastPeerRequest > PeerRequestInterval)
+    if (!hasSource() && validity() <= Duration::zero() &&
+        m_timers.now() - m_lastPeerRequest > PeerRequestInterval)
         requestFromPeers();
     m_timers.schedule(TickInterval, [this] { tick(); });
 }
 
+void FleetRelay::updateIsolation()
+{
+    const TimePoint now = m_timers.now();
+    while (!m_recentChanges.empty() && now - m_recentChanges.front().first > RecentChangeTime)
+        m_recentChanges.pop_front();
+    const bool isIsolated = m_validUntil != TimePoint() && !hasSource();
+    if (std::exchange(m_isIsolated, isIsolated) == isIsolated || !isIsolated)
+        return;
+    for (const auto &[receivedAt, key] : m_recentChanges)
+        scheduleSending(key);
+}
+
 std::uint32_t FleetRelay::substitutes() const
 {
     const std::size_t members = m_peers.size() + 1;
@@ -209,15 +248,16 @@
     logEvent(LogLevel::Info, isWatching ? "storeWatchStarted" : "storeWatchEnded",
              {{"designated", isDesignated()},
               {"sinceBeat", m_timers.now() - m_lastStateHeartbeat},
+              {"isolated", m_isIsolated},
               {"watchers", m_watchers.size()}});
     m_callbacks.setWatching(isWatching, substitutes);
 }
 
 void FleetRelay::sendHeartbeats()
 {
-    if (isDesignated() && isCurrent())
+    if (const Duration validFor = validity(); isDesignated() && validFor > Duration::zero())
         for (const std::string &follower : m_followers)
-            m_network.send(follower, PeerStateHeartbeat{m_digest});
+            m_network.send(follower, PeerStateHeartbeat{m_digest, validFor});
     m_timers.schedule(StateHeartbeatInterval, [this] { sendHeartbeats(); });
 }
 
@@ -238,8 +278,14 @@
         received.newest = version;
         received.newestKey = key;
     }
+    m_recentChanges.emplace_back(m_timers.now(), key);
     // Changes received from another watcher are forwarded too, because it has other followers.
-    if (m_followers.empty())
+    scheduleSending(key);
+}
+
+void FleetRelay::scheduleSending(const std::string &key)
+{
+    if (m_followers.empty() && !m_isIsolated)
         return;
     if (m_pendingChanges.empty())
         m_timers.schedule(Duration::zero(), [this] { sendPendingChanges(); });
@@ -283,9 +329,10 @@
     }
 }
 
-void FleetRelay::onStoreContact()
+void FleetRelay::onStoreContact(StoredKind kind, Duration validFor)
 {
     m_lastContact = m_timers.now();
+    m_kindValidUntil[static_cast<std::size_t>(kind)] = m_lastContact + validFor;
     m_hasStoreFailed = false;
 }
 
@@ -294,22 +341,29 @@
     std::vector<StoredObject> changes;
     for (auto &[key, object] : std::exchange(m_pendingChanges, {}))
         changes.push_back(std::move(object));
+    std::set<std::string> receivers(m_followers.begin(), m_followers.end());
+    if (m_isIsolated)
+        receivers.insert(m_neighbors.begin(), m_neighbors.end());
     for (const PeerObjectPush &push : toPushes(std::move(changes)))
-        for (const std::string &follower : m_followers)
-            m_network.send(follower, push);
+        for (const std::string &receiver : receivers)
+            m_network.send(receiver, push);
 }
 
 void FleetRelay::onStateHeartbeat(const std::string &peerAddress,
                                   const PeerStateHeartbeat &heartbeat)
 {
     m_lastStateHeartbeat = m_timers.now();
+    m_validUntil =
+            std::max(m_validUntil, m_lastStateHeartbeat + std::min<Duration>(heartbeat.validFor,
+                                                                             MaxStatedValidity));
+    std::uint32_t &mismatches = m_mismatches[peerAddress];
     if (heartbeat.digest == m_digest) {
-        m_mismatches = 0;
+        mismatches = 0;
         return;
     }
-    if (++m_mismatches < MismatchesBeforePull || m_timers.now() - m_lastPull < PullInterval)
+    if (++mismatches < MismatchesBeforePull || m_timers.now() - m_lastPull < PullInterval)
         return;
-    m_mismatches = 0;
+    mismatches = 0;
     m_lastPull = m_timers.now();
     logEvent(LogLevel::Info, "fleetStateCompared", {{"peer", peerAddress}});
     m_network.send(peerAddress, PeerObjectPull{m_replica.versions(), true});
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -101,13 +101,19 @@
                     continue;
                 }
                 ++calls;
-                node->relay.onStoreContact();
+                answer(*node);
                 for (const auto &[key, object] : store)
                     if (std::exchange(node->read[key], object.version) < object.version)
                         node->relay.onStoredObject(object);
             }
         }
     }
+    /// Tells a daemon that the store has answered its calls for all kinds.
+    static void answer(Node &node)
+    {
+        for (std::size_t kind = 0; kind < StoredKinds; ++kind)
+            node.relay.onStoreContact(static_cast<StoredKind>(kind), 1800ms);
+    }
     static std::size_t sizeOf(const PeerObjectPush &push)
     {
         std::size_t bytes = 0;
@@ -317,7 +323,7 @@
     fleet.pulls = 0;
     fleet.start(2);
     if (doesStoreAnswer)
-        fleet.nodes["d2"]->relay.onStoreContact();
+        Fleet::answer(*fleet.nodes["d2"]);
     fleet.run(400ms);
     CHECK((fleet.pulls > 0) == isAsked);
 }
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -53,6 +53,7 @@
                        "c"}},
             {"ping loses gossip", PeerPing{5, sampleGossip()}},
             {"ack loses its target", PeerAck{5, "m2", sampleGossip()}},
+            {"heartbeat loses its validity", PeerStateHeartbeat{7, 900ms}},
             {"ping request loses its target", PeerPingRequest{6, "m3", sampleGossip()}},
             {"pull loses versions", PeerObjectPull{{{"rules", 3}}, true}},
             {"push loses bytes that are not text", PeerObjectPush{{{"rules", 4, "a\0b"}}, true}},
--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -145,7 +145,7 @@
                       bool) override
     {
     }
-    void onStoreContact() override {}
+    void onStoreContact(StoredKind, Duration) override {}
     void onStoreFailure() override { ++failures; }
 
     std::map<std::string, std::vector<std::string>> pages;
--- a/tests/platform_store_source_test.cpp
+++ b/tests/platform_store_source_test.cpp
@@ -21,7 +21,7 @@
                       bool) override
     {
     }
-    void onStoreContact() override {}
+    void onStoreContact(StoredKind, Duration) override {}
     void onStoreFailure() override {}
     void onRoutes(RouteTable) override {}
     void onSearcher(const SearcherRecord &) override {}
