Compare failures that searchers report apart from lost answers

Cause: a request that lost its answer on the way counted as a bad answer of its version. Connections that are reset or cut raise this rate for the old version too, and a new version may have twice the old one's rate, up to 90%. With a quarter of all answers lost, a version that fails 40% of its requests stayed in use.

Ruled out by rows of the same test, which passed before: a store that no daemon reaches, a daemon without peers, restarts after the verdict, clocks set back before a restart.

Answers in which the searcher reports a failure are now compared with such answers of the old version, and lost answers with lost answers. A version that loses more answers is still rolled back.

--- a/include/geraniumcart/answer_counters.h
+++ b/include/geraniumcart/answer_counters.h
@@ -25,14 +25,18 @@
     /// Counts a good answer. The latency counts only if the searcher was warm, since cold searchers
     /// are slow with any version.
     void addGood(Duration latency, bool wasCold);
-    /// Counts a bad answer, or a failure without an answer.
+    /// Counts an answer in which the searcher reported a failure.
     void addBad() { m_bad.fetch_add(1, std::memory_order_relaxed); }
+    /// Counts a request without a complete answer. The network may be the cause, so such requests
+    /// are compared apart from bad answers.
+    void addLost() { m_lost.fetch_add(1, std::memory_order_relaxed); }
     /// Counts the latency of a cancelled sub-request as @p age, since it would have taken longer.
     /// Ignored if the searcher was cold.
     void addCancelled(Duration age, bool wasCold);
 
     std::uint64_t good() const { return m_good.load(std::memory_order_relaxed); }
     std::uint64_t bad() const { return m_bad.load(std::memory_order_relaxed); }
+    std::uint64_t lost() const { return m_lost.load(std::memory_order_relaxed); }
     std::vector<std::uint64_t> latencyBuckets() const;
 
 private:
@@ -40,6 +44,7 @@
 
     std::atomic<std::uint64_t> m_good{0};
     std::atomic<std::uint64_t> m_bad{0};
+    std::atomic<std::uint64_t> m_lost{0};
     std::array<std::atomic<std::uint64_t>, Buckets> m_buckets{};
 };
 
--- a/include/geraniumcart/rollout.h
+++ b/include/geraniumcart/rollout.h
@@ -28,10 +28,14 @@
     std::string version;
     RequestKind route = RequestKind::Search;
     std::uint64_t good = 0;
+    /// Answers in which the searcher reported a failure.
     std::uint64_t bad = 0;
     /// Histogram of latencies: bucket i counts latencies below 2^i * 250 us. Only answers from warm
     /// searchers are counted.
     std::vector<std::uint64_t> latencyBuckets;
+    /// Requests without a complete answer.
+    std::uint64_t lost = 0;
+    std::uint64_t requests() const { return good + bad + lost; }
     bool operator==(const AnswerCounts &) const = default;
 };
 
@@ -76,7 +80,7 @@
     /// sudden and slow failures are detected.
     Duration shortWindow = std::chrono::seconds(2);
     Duration longWindow = std::chrono::seconds(15);
-    /// Minimum number of bad answers before a version is rolled back for them.
+    /// Minimum number of bad answers, or of lost ones, before a version is rolled back for them.
     std::uint64_t minBadAnswers = 8;
     /// Minimum number of answers of each side before latencies are compared. Of fewer answers, one
     /// straggling shard can make most slow, which says nothing about the version.
@@ -128,6 +132,7 @@
     {
         std::uint64_t good = 0;
         std::uint64_t bad = 0;
+        std::uint64_t lost = 0;
         std::vector<std::uint64_t> latencyBuckets;
         void add(const AnswerCounts &row);
         void add(const Totals &other);
@@ -174,6 +179,10 @@
     std::optional<std::string> compare(const Totals &candidate, const Totals &baseline,
                                        RequestKind route) const;
     void rollBack(ServiceRollout &rollout, const std::string &reason);
+    /// @return true if a version that fails @p candidate of @p candidateTotal requests is worse
+    /// than one that fails @p baseline of @p baselineTotal
+    bool failsMore(std::uint64_t candidate, std::uint64_t candidateTotal, std::uint64_t baseline,
+                   std::uint64_t baselineTotal) const;
     double plannedShare(const ServiceRollout &rollout) const;
 
     RolloutConfig m_config;
--- a/src/connection/peer_codec_decode.cpp
+++ b/src/connection/peer_codec_decode.cpp
@@ -126,6 +126,7 @@
     out.incarnation = row.incarnation();
     out.good = row.good();
     out.bad = row.bad();
+    out.lost = row.lost();
     decodeNumbers(row.latency_buckets(), out.latencyBuckets);
     return decodeString(row.daemon(), out.daemon) && decodeString(row.service(), out.service) &&
            decodeString(row.version(), out.version) && decodeKind(row.route(), out.route);
--- a/src/connection/peer_codec_encode.cpp
+++ b/src/connection/peer_codec_encode.cpp
@@ -63,7 +63,7 @@
 {
     return wire::CreateEvidenceDirect(
             builder, row.daemon.c_str(), row.incarnation, row.service.c_str(), row.version.c_str(),
-            static_cast<std::uint8_t>(row.route), row.good, row.bad, &row.latencyBuckets);
+            static_cast<std::uint8_t>(row.route), row.good, row.bad, &row.latencyBuckets, row.lost);
 }
 
 Offset<wire::Stop> encodeStop(Builder &builder, const RolloutStop &stop)
--- a/src/process/answer_counting_sender.cpp
+++ b/src/process/answer_counting_sender.cpp
@@ -76,8 +76,10 @@
         // capacity are due to the searcher's load, not to its software.
         if (failure == SubRequestFailure::Cancelled)
             counter(open).addCancelled(m_timers.now() - m_sentAt, open.upstream->isCold());
-        else if (!isProvenNotRun(failure))
+        else if (failure == SubRequestFailure::Failed)
             counter(open).addBad();
+        else if (!isProvenNotRun(failure))
+            counter(open).addLost();
     }
 
     TimerService &m_timers;
--- a/src/process/fleet_rollouts.cpp
+++ b/src/process/fleet_rollouts.cpp
@@ -201,7 +201,7 @@
     std::uint64_t answers = 0;
     for (const AnswerCounts &row : m_rollout.answerCounts())
         if (row.service == entry.order.service && row.version != entry.order.version)
-            answers += row.good + row.bad;
+            answers += row.requests();
     if (answers != entry.oldAnswers || entry.oldIdleSince == TimePoint()) {
         entry.oldAnswers = answers;
         entry.oldIdleSince = m_timers.now();
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -370,7 +370,7 @@
         --m_possibleArrivals;
         std::erase(m_tried, attempt.upstream.get());
     } else if (AnswerCounters *counters = countersOf(*attempt.upstream)) {
-        counters->addBad();
+        counters->addLost();
     }
     if (isOpen())
         continueAfterFailure();
--- a/src/version/rollout.cpp
+++ b/src/version/rollout.cpp
@@ -70,13 +70,14 @@
 
 void Rollout::Totals::add(const AnswerCounts &row)
 {
-    add(Totals{row.good, row.bad, row.latencyBuckets});
+    add(Totals{row.good, row.bad, row.lost, row.latencyBuckets});
 }
 
 void Rollout::Totals::add(const Totals &other)
 {
     good += other.good;
     bad += other.bad;
+    lost += other.lost;
     latencyBuckets.resize(std::max(latencyBuckets.size(), other.latencyBuckets.size()));
     for (std::size_t i = 0; i < other.latencyBuckets.size(); ++i)
         latencyBuckets[i] += other.latencyBuckets[i];
@@ -90,6 +91,7 @@
     Totals result;
     result.good = difference(good, earlier.good);
     result.bad = difference(bad, earlier.bad);
+    result.lost = difference(lost, earlier.lost);
     result.latencyBuckets = latencyBuckets;
     for (std::size_t i = 0; i < std::min(latencyBuckets.size(), earlier.latencyBuckets.size()); ++i)
         result.latencyBuckets[i] = difference(latencyBuckets[i], earlier.latencyBuckets[i]);
@@ -155,8 +157,7 @@
         earlier.route = row.route;
         earlier.totals.add(stored);
         stored = row;
-    } else if (row.incarnation == stored.incarnation &&
-               row.good + row.bad >= stored.good + stored.bad) {
+    } else if (row.incarnation == stored.incarnation && row.requests() >= stored.requests()) {
         stored = row;
     }
 }
@@ -269,20 +270,30 @@
     return std::nullopt;
 }
 
+bool Rollout::failsMore(std::uint64_t candidate, std::uint64_t candidateTotal,
+                        std::uint64_t baseline, std::uint64_t baselineTotal) const
+{
+    const double baselineRate = baselineTotal == 0 ? 0.0
+                                                   : static_cast<double>(baseline + 1) /
+                                                             static_cast<double>(baselineTotal + 1);
+    const double allowed = std::min(0.9, std::max(ToleratedErrorRate, 2 * baselineRate));
+    return candidate >= m_config.minBadAnswers &&
+           tailProbability(candidate, candidateTotal, allowed) < m_config.falseRollbackProbability;
+}
+
 std::optional<std::string> Rollout::compare(const Totals &candidate, const Totals &baseline,
                                             RequestKind route) const
 {
-    const std::uint64_t candidateTotal = candidate.good + candidate.bad;
-    const std::uint64_t baselineTotal = baseline.good + baseline.bad;
-    const double baselineErrorRate = baselineTotal == 0
-                                             ? 0.0
-                                             : static_cast<double>(baseline.bad + 1) /
-                                                       static_cast<double>(baselineTotal + 1);
-    const double allowed = std::min(0.9, std::max(ToleratedErrorRate, 2 * baselineErrorRate));
-    if (candidate.bad >= m_config.minBadAnswers &&
-        tailProbability(candidate.bad, candidateTotal, allowed) < m_config.falseRollbackProbability)
-        return std::string(nameOf(route)) + ": " + fractionText(candidate.bad, candidateTotal) +
-               " answers failed; old version: " + fractionText(baseline.bad, baselineTotal);
+    const std::uint64_t candidateAnswers = candidate.good + candidate.bad;
+    const std::uint64_t baselineAnswers = baseline.good + baseline.bad;
+    if (failsMore(candidate.bad, candidateAnswers, baseline.bad, baselineAnswers))
+        return std::string(nameOf(route)) + ": " + fractionText(candidate.bad, candidateAnswers) +
+               " answers failed; old version: " + fractionText(baseline.bad, baselineAnswers);
+    const std::uint64_t candidateTotal = candidateAnswers + candidate.lost;
+    const std::uint64_t baselineTotal = baselineAnswers + baseline.lost;
+    if (failsMore(candidate.lost, candidateTotal, baseline.lost, baselineTotal))
+        return std::string(nameOf(route)) + ": " + fractionText(candidate.lost, candidateTotal) +
+               " answers lost; old version: " + fractionText(baseline.lost, baselineTotal);
 
     const std::uint64_t candidateLatencies = candidate.latencyCount();
     const std::uint64_t baselineLatencies = baseline.latencyCount();
@@ -378,9 +389,11 @@
             for (const RequestKind route : Routes) {
                 const AnswerCounters &counter =
                         versionCounters->routes[static_cast<std::size_t>(route)];
-                AnswerCounts row{daemon, incarnation,    service,       version,
-                                 route,  counter.good(), counter.bad(), counter.latencyBuckets()};
-                if (row.good + row.bad > 0)
+                AnswerCounts row{
+                        daemon,        incarnation,    service,       version,
+                        route,         counter.good(), counter.bad(), counter.latencyBuckets(),
+                        counter.lost()};
+                if (row.requests() > 0)
                     rows.push_back(std::move(row));
             }
     return rows;
--- a/tests/fleet_rollouts_test.cpp
+++ b/tests/fleet_rollouts_test.cpp
@@ -5,7 +5,9 @@
 #include <geraniumcart/fleet_rollouts.h>
 
 #include <algorithm>
+#include <functional>
 #include <random>
+#include <set>
 
 using namespace geraniumcart;
 using namespace geraniumcart::test;
@@ -53,12 +55,23 @@
         notifyDaemons();
     }
     /// Replaces a daemon by a new process, which receives the current order.
-    void restart(std::size_t index)
+    /// @param isClockSetBack whether the new process starts at an earlier time of day than the old
+    ///     one
+    void restart(std::size_t index, bool isClockSetBack = false)
     {
         m_retired.push_back(std::move(m_daemons[index]));
+        const std::uint64_t next = m_nextIncarnation;
+        if (isClockSetBack)
+            m_nextIncarnation = 1;
         m_daemons[index] = std::make_unique<Daemon>(*this, index);
+        m_nextIncarnation = std::max(next, m_nextIncarnation);
         m_daemons[index]->rollouts.onRollout(m_order);
     }
+    /// Keeps a daemon from exchanging heartbeats with others.
+    void isolate(std::size_t index) { m_isolated.insert(index); }
+    std::size_t size() const { return m_daemons.size(); }
+    /// Schedules a step of the test.
+    void at(Duration time, std::function<void()> step) { m_timers.schedule(time, std::move(step)); }
     void run(Duration length)
     {
         for (Duration spent{}; spent < length; spent += StepLength) {
@@ -79,6 +92,8 @@
     std::uint64_t lateNewVersionRequests() const { return m_lateNewVersionRequests; }
 
     bool isStoreUnreachable = false;
+    /// Share of the requests whose connection is lost before the answer, whatever the version.
+    double lostRate = 0;
 
 private:
     struct Daemon
@@ -139,6 +154,8 @@
         m_lastHeartbeat = m_timers.now();
         for (const auto &daemon : m_daemons) {
             const auto &peer = m_daemons[m_random() % m_daemons.size()];
+            if (m_isolated.contains(daemon->index) || m_isolated.contains(peer->index))
+                continue;
             Gossip ping;
             daemon->rollouts.fill(ping);
             peer->rollouts.onGossip("", ping);
@@ -171,13 +188,16 @@
         const bool isBad = std::uniform_real_distribution<>()(m_random) < behaviour.failureRate;
         if (isNewVersion && m_boundSince && m_timers.now() - *m_boundSince > RollbackTime)
             ++m_lateNewVersionRequests;
+        const bool isLost = lostRate > 0 && std::uniform_real_distribution<>()(m_random) < lostRate;
         const bool isCountedBad = isNewVersion && (isBad || behaviour.latency > 40ms);
         if (isCountedBad && ++m_badAnswers == BadAnswersUntilBound)
             m_boundSince = m_timers.now();
         const auto &counters = isNewVersion ? division.versionCounters : division.otherCounters;
         if (!counters)
             return;
-        if (isBad)
+        if (isLost)
+            counters->routes[0].addLost();
+        else if (isBad)
             counters->routes[0].addBad();
         else
             counters->routes[0].addGood(behaviour.latency, false);
@@ -187,7 +207,8 @@
     const double m_requestsPerSecond;
     const BehaviourOf m_newVersion;
     std::mt19937 m_random{5};
-    std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_nextIncarnation = 100;
+    std::set<std::size_t> m_isolated;
     std::uint64_t m_revision = 0;
     RolloutOrder m_order;
     TimePoint m_orderedAt{};
@@ -223,7 +244,6 @@
 {
     return {0.002, 80ms};
 }
-
 } // namespace
 
 // Guards against a rollout that stops on random failures or misses its due time, and against a bad
@@ -256,6 +276,50 @@
     CHECK(fleet.lateNewVersionRequests() == 0);
 }
 
+// Guards against a bad version that gets requests for too long because what daemons know of it does
+// not reach the others, or is hidden by another fault.
+TEST_CASE("a bad version is out of use in time while other faults last")
+{
+    using Disturbance = void (*)(RolloutFleet & fleet);
+    const auto [failure, newVersion, disturb] =
+            GENERATE(table<const char *, BehaviourOf, Disturbance>({
+                    {"without another fault", failsLate, [](RolloutFleet &) {}},
+                    {"daemons without the store go on", failsLate,
+                     [](RolloutFleet &fleet) { fleet.isStoreUnreachable = true; }},
+                    {"under load, daemons without the store go on", failsUnderLoad,
+                     [](RolloutFleet &fleet) { fleet.isStoreUnreachable = true; }},
+                    {"a daemon without its peers goes on", failsLate,
+                     [](RolloutFleet &fleet) { fleet.isolate(4); }},
+                    {"lost answers hide the failures", failsLate,
+                     [](RolloutFleet &fleet) { fleet.lostRate = 0.25; }},
+                    {"counts after a restart with the clock set back are ignored", failsLate,
+                     [](RolloutFleet &fleet) {
+                         fleet.isStoreUnreachable = true;
+                         fleet.at(4s, [&fleet] {
+                             for (std::size_t i = 1; i < fleet.size(); ++i)
+                                 fleet.restart(i, true);
+                         });
+                     }},
+                    {"daemons that restart after the verdict go on", failsLate,
+                     [](RolloutFleet &fleet) {
+                         fleet.isStoreUnreachable = true;
+                         fleet.at(10s, [&fleet] {
+                             for (std::size_t i = 0; i < fleet.size(); i += 2)
+                                 fleet.restart(i);
+                         });
+                     }},
+            }));
+    const auto [size, requestsPerSecond] =
+            GENERATE(table<std::size_t, double>({{8, 20}, {8, 90}, {18, 45}, {60, 45}, {60, 100}}));
+    INFO(failure << ", " << size << " daemons, " << requestsPerSecond << " requests a second");
+    RolloutFleet fleet(size, requestsPerSecond, newVersion);
+    fleet.order("v2");
+    disturb(fleet);
+    fleet.run(OrderLength + RollbackTime);
+    INFO(fleet.newVersionRequests() << " of " << fleet.requests());
+    CHECK(fleet.lateNewVersionRequests() == 0);
+}
+
 // Guards against daemons that wait for the store before they stop sending to a bad version. Without
 // the store, each daemon has to stop by itself, and the state is recorded once the store is back.
 TEST_CASE("a bad version gets no more requests although the store is unreachable")
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -23,6 +23,7 @@
     row.route = RequestKind::Book;
     row.good = 10;
     row.bad = 2;
+    row.lost = 4;
     row.latencyBuckets = {1, 2, 3};
     gossip.answerCounts = {row};
     gossip.stops = {{"lend-front", "v42", WallTime(12min), "errors"}};
