Roll back a version that is slow for a part of its requests

The platform's contract says that a part of a bad version's answers may be several times slower.

Cause: latencies were compared only if the new version's median was in a higher bucket than the old one's, so that a version that is slow for less than half of its requests was never rolled back.

Answers above the old version's 95th percentile are now compared too. A share of 8% and twice the old version's is tolerated, which a version that is a third slower does not reach.

--- a/src/version/rollout.cpp
+++ b/src/version/rollout.cpp
@@ -16,6 +16,16 @@
 constexpr double SlowFactor = 1.5;
 /// Share of the old version's answers that count as slow in a comparison.
 constexpr double SlowShare = 0.25;
+/// Share of slow answers that never leads to a rollback, in addition to SlowFactor times the old
+/// version's.
+constexpr double ToleratedSlow = 0.1;
+/// Share of the old version's answers above which an answer counts as an outlier. A version may be
+/// slow for a part of its requests only, which leaves its median unchanged.
+constexpr double OutlierShare = 0.05;
+/// Share of outliers that never leads to a rollback, in addition to twice the old version's. A
+/// version that is slower by a third has about as many.
+constexpr double ToleratedOutliers = 0.08;
+constexpr double OutlierFactor = 2;
 /// Error rate that never leads to a rollback: the rate of the old version may be zero by chance.
 constexpr double ToleratedErrorRate = 0.01;
 
@@ -53,6 +63,16 @@
     return count;
 }
 
+/// @return the first bucket from which on at most the share @p share of all answers lies
+std::size_t firstBucketAbove(const std::vector<std::uint64_t> &buckets, double share)
+{
+    const auto allowed = share * static_cast<double>(countFrom(buckets, 0));
+    std::size_t first = buckets.size();
+    while (first > 0 && static_cast<double>(countFrom(buckets, first - 1)) <= allowed)
+        --first;
+    return first;
+}
+
 /// @return the bucket that contains the median
 std::size_t medianBucket(const std::vector<std::uint64_t> &buckets)
 {
@@ -300,23 +320,30 @@
     if (candidateLatencies < m_config.minLatencySamples ||
         baselineLatencies < m_config.minLatencySamples)
         return std::nullopt;
-    // Compares how many answers of each version are above the old version's upper quartile.
-    std::size_t firstSlowBucket = baseline.latencyBuckets.size();
-    while (firstSlowBucket > 0 &&
-           static_cast<double>(countFrom(baseline.latencyBuckets, firstSlowBucket - 1)) <=
-                   SlowShare * static_cast<double>(baselineLatencies))
-        --firstSlowBucket;
-    const std::uint64_t slow = countFrom(candidate.latencyBuckets, firstSlowBucket);
-    const double baselineSlowRate =
-            static_cast<double>(countFrom(baseline.latencyBuckets, firstSlowBucket) + 1) /
-            static_cast<double>(baselineLatencies + 1);
-    const double tolerated = std::min(0.9, baselineSlowRate * SlowFactor + 0.1);
+    // Compares how many answers of each version are above the old version's upper quartile, and how
+    // many are outliers.
+    const auto isSlower = [&](std::size_t firstSlowBucket, double factor, double tolerated) {
+        const double baselineRate =
+                static_cast<double>(countFrom(baseline.latencyBuckets, firstSlowBucket) + 1) /
+                static_cast<double>(baselineLatencies + 1);
+        return tailProbability(countFrom(candidate.latencyBuckets, firstSlowBucket),
+                               candidateLatencies,
+                               std::min(0.9, baselineRate * factor + tolerated)) <
+               m_config.falseRollbackProbability;
+    };
+    const std::size_t slowBucket = firstBucketAbove(baseline.latencyBuckets, SlowShare);
     const bool isShifted =
             medianBucket(candidate.latencyBuckets) > medianBucket(baseline.latencyBuckets);
-    if (isShifted &&
-        tailProbability(slow, candidateLatencies, tolerated) < m_config.falseRollbackProbability)
-        return std::string(nameOf(route)) + ": " + fractionText(slow, candidateLatencies) +
+    if (isShifted && isSlower(slowBucket, SlowFactor, ToleratedSlow))
+        return std::string(nameOf(route)) + ": " +
+               fractionText(countFrom(candidate.latencyBuckets, slowBucket), candidateLatencies) +
                " answers are slower than three quarters of the old version's";
+    const std::size_t outlierBucket = firstBucketAbove(baseline.latencyBuckets, OutlierShare);
+    if (isSlower(outlierBucket, OutlierFactor, ToleratedOutliers))
+        return std::string(nameOf(route)) + ": " +
+               fractionText(countFrom(candidate.latencyBuckets, outlierBucket),
+                            candidateLatencies) +
+               " answers are slower than 19 in 20 of the old version's";
     return std::nullopt;
 }
 
--- a/tests/fleet_rollouts_test.cpp
+++ b/tests/fleet_rollouts_test.cpp
@@ -30,6 +30,8 @@
 {
     double failureRate = 0.002;
     Duration latency = 20ms;
+    /// Share of the answers that have the latency; the others take 20 ms.
+    double slowShare = 1;
 };
 /// Behaviour of the new version by time since the order and by its share of requests.
 using BehaviourOf = Behaviour (*)(Duration sinceOrder, double share);
@@ -94,6 +96,8 @@
     bool isStoreUnreachable = false;
     /// Share of the requests whose connection is lost before the answer, whatever the version.
     double lostRate = 0;
+    /// Standard deviation of the logarithm of latencies, whatever the version.
+    double latencySpread = 0;
 
 private:
     struct Daemon
@@ -188,8 +192,11 @@
         const bool isBad = std::uniform_real_distribution<>()(m_random) < behaviour.failureRate;
         if (isNewVersion && m_boundSince && m_timers.now() - *m_boundSince > RollbackTime)
             ++m_lateNewVersionRequests;
+        const bool isFast = behaviour.slowShare < 1 &&
+                            std::uniform_real_distribution<>()(m_random) >= behaviour.slowShare;
+        const Duration latency = isFast ? Duration(20ms) : behaviour.latency;
         const bool isLost = lostRate > 0 && std::uniform_real_distribution<>()(m_random) < lostRate;
-        const bool isCountedBad = isNewVersion && (isBad || behaviour.latency > 40ms);
+        const bool isCountedBad = isNewVersion && (isBad || latency > 40ms);
         if (isCountedBad && ++m_badAnswers == BadAnswersUntilBound)
             m_boundSince = m_timers.now();
         const auto &counters = isNewVersion ? division.versionCounters : division.otherCounters;
@@ -200,7 +207,15 @@
         else if (isBad)
             counters->routes[0].addBad();
         else
-            counters->routes[0].addGood(behaviour.latency, false);
+            counters->routes[0].addGood(spread(latency), false);
+    }
+
+    Duration spread(Duration latency)
+    {
+        if (latencySpread == 0)
+            return latency;
+        return std::chrono::duration_cast<Duration>(
+                latency * std::lognormal_distribution<>(0, latencySpread)(m_random));
     }
 
     ManualTimerService m_timers;
@@ -244,6 +259,15 @@
 {
     return {0.002, 80ms};
 }
+Behaviour isPartlySlow(Duration, double)
+{
+    return {0.002, 80ms, 0.35};
+}
+Behaviour isPartlySlowLate(Duration sinceOrder, double)
+{
+    return {0.002, sinceOrder > 7s ? 80ms : 20ms, 0.4};
+}
+
 } // namespace
 
 // Guards against a rollout that stops on random failures or misses its due time, and against a bad
@@ -308,6 +332,10 @@
                                  fleet.restart(i);
                          });
                      }},
+                    {"a version that is slow for a third of the requests", isPartlySlow,
+                     [](RolloutFleet &fleet) { fleet.latencySpread = 0.35; }},
+                    {"a version that becomes slow for some requests", isPartlySlowLate,
+                     [](RolloutFleet &) {}},
             }));
     const auto [size, requestsPerSecond] =
             GENERATE(table<std::size_t, double>({{8, 20}, {8, 90}, {18, 45}, {60, 45}, {60, 100}}));
@@ -320,6 +348,26 @@
     CHECK(fleet.lateNewVersionRequests() == 0);
 }
 
+// Guards against a good version that is rolled back because answers are lost, or because some take
+// longer by chance.
+TEST_CASE("a good version completes although answers are lost and latencies differ")
+{
+    const auto [failure, lostRate, latencySpread] = GENERATE(table<const char *, double, double>({
+            {"lost answers count against the version", 0.25, 0},
+            {"random latencies count against the version", 0, 0.5},
+            {"both together count against the version", 0.1, 0.35},
+    }));
+    const auto [size, requestsPerSecond] =
+            GENERATE(table<std::size_t, double>({{8, 20}, {8, 90}, {18, 45}, {60, 100}}));
+    INFO(failure << ", " << size << " daemons, " << requestsPerSecond << " requests a second");
+    RolloutFleet fleet(size, requestsPerSecond, isGood);
+    fleet.lostRate = lostRate;
+    fleet.latencySpread = latencySpread;
+    fleet.order("v2");
+    fleet.run(OrderLength);
+    CHECK(fleet.state() == RolloutState::Completed);
+}
+
 // Guards against daemons that wait for the store before they stop sending to a bad version. Without
 // the store, each daemon has to stop by itself, and the state is recorded once the store is back.
 TEST_CASE("a bad version gets no more requests although the store is unreachable")
