Complete a rollout shortly before it is due, not as soon as it looks idle

Cause: a daemon recorded a rollout as completed once the old version had sent no answer for a second, by the counts that it knew. A daemon that is cut from its peers watches the store, so it may record, and knows its own requests only. Its record ended the rollout of a bad version before the others had rolled it back, and stopped old searchers that others used.

A rollout is now recorded as completed half a second before it is due, which also leaves a version that fails under load the time to show it.

A good version completes in time in every row.

--- a/include/geraniumcart/fleet_rollouts.h
+++ b/include/geraniumcart/fleet_rollouts.h
@@ -92,17 +92,12 @@
         TimePoint stateSince{};
         /// When this daemon last tried to record a state.
         TimePoint lastRecordAt{};
-        /// Answers of the old versions when their count last changed.
-        std::uint64_t oldAnswers = 0;
-        /// Time since which the old versions have answered no request.
-        TimePoint oldIdleSince{};
     };
 
     void configure();
     void step();
     void stepEntry(Entry &entry);
     void record(Entry &entry, RolloutState state, const std::string &reason);
-    bool isOldIdle(Entry &entry);
     /// Publishes how requests are divided between versions in the serving view.
     void updateDivisions();
     /// @return std::nullopt if requests are not divided between the service's versions
--- a/src/process/fleet_rollouts.cpp
+++ b/src/process/fleet_rollouts.cpp
@@ -15,12 +15,10 @@
 /// Minimum time between two records of the same rollout. By then, the state that the first one
 /// wrote has been read back from the store.
 constexpr std::chrono::milliseconds RecordInterval{1000};
-/// A rollout is recorded as completed after the old searchers have sent no answer for this long,
-/// since they stop without draining once it is recorded. The time covers the difference between the
-/// shares that daemons apply.
-constexpr std::chrono::milliseconds OldIdleTime{1000};
-/// A rollout that is done is recorded as completed this long before it is due even if old searchers
-/// still answer.
+/// A rollout that is done is recorded as completed this long before it is due, and not sooner: the
+/// old searchers stop without draining once it is recorded. Until then, a version that fails under
+/// load can be rolled back, and a daemon that knows only its own requests cannot stop searchers that
+/// others use.
 constexpr std::chrono::milliseconds CompletionLead{500};
 /// Time after which the store entries of old searchers have expired. Entries of searchers that stop
 /// without draining expire after three heartbeats of 1.2 s, and daemons receive the end of the
@@ -167,11 +165,9 @@
     const RolloutStatus *status = statusOf(entry.order.service);
     if (!status)
         return;
-    const bool isIdle = isOldIdle(entry);
     if (status->state == RolloutPhase::RolledBack)
         record(entry, RolloutState::RolledBack, status->reason);
-    else if (status->state == RolloutPhase::Done &&
-             (isIdle || m_timers.now() >= entry.dueAt - CompletionLead))
+    else if (status->state == RolloutPhase::Done && m_timers.now() >= entry.dueAt - CompletionLead)
         record(entry, RolloutState::Completed, status->reason);
     else if (entry.order.state == RolloutState::Ordered)
         record(entry, RolloutState::InService, status->reason);
@@ -196,19 +192,6 @@
     m_callbacks.record(recorded);
 }
 
-bool FleetRollouts::isOldIdle(Entry &entry)
-{
-    std::uint64_t answers = 0;
-    for (const AnswerCounts &row : m_rollout.answerCounts())
-        if (row.service == entry.order.service && row.version != entry.order.version)
-            answers += row.requests();
-    if (answers != entry.oldAnswers || entry.oldIdleSince == TimePoint()) {
-        entry.oldAnswers = answers;
-        entry.oldIdleSince = m_timers.now();
-    }
-    return m_timers.now() - entry.oldIdleSince >= OldIdleTime;
-}
-
 const RolloutStatus *FleetRollouts::statusOf(const std::string &service) const
 {
     const auto found = std::ranges::find_if(m_statuses, [&service](const RolloutStatus &status) {
--- a/tests/fleet_rollouts_test.cpp
+++ b/tests/fleet_rollouts_test.cpp
@@ -332,6 +332,11 @@
                                  fleet.restart(i);
                          });
                      }},
+                    {"half of the daemons, without their peers, go on", failsLate,
+                     [](RolloutFleet &fleet) {
+                         for (std::size_t i = 0; i < fleet.size(); i += 2)
+                             fleet.isolate(i);
+                     }},
                     {"a version that is slow for a third of the requests", isPartlySlow,
                      [](RolloutFleet &fleet) { fleet.latencySpread = 0.35; }},
                     {"a version that becomes slow for some requests", isPartlySlowLate,
