Continue the incarnation of an earlier process if the clock was set back

Cause, found by reading while the incident was traced: a daemon whose clock was set back before a restart had a smaller incarnation than its earlier process, so that its peers, and it too once a peer had sent it the old row, ignored its counts of answers until the rollout ended. Membership refutes such a state of the daemon; the counts did not.

A daemon that receives a row of its own with a greater incarnation now continues from that one.

Evidence: the row of the clock set back failed before (the daemon sent the old 50 good answers instead of its own) and passes now.

--- a/src/process/fleet_rollouts.cpp
+++ b/src/process/fleet_rollouts.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds RecordInterval{1000};
 /// A rollout that is done is recorded as completed this long before it is due, and not sooner: the
 /// old searchers stop without draining once it is recorded. Until then, a version that fails under
-/// load can be rolled back, and a daemon that knows only its own requests cannot stop searchers that
-/// others use.
+/// load can be rolled back, and a daemon that knows only its own requests cannot stop searchers
+/// that others use.
 constexpr std::chrono::milliseconds CompletionLead{500};
 /// Time after which the store entries of old searchers have expired. Entries of searchers that stop
 /// without draining expire after three heartbeats of 1.2 s, and daemons receive the end of the
@@ -250,9 +250,15 @@
 
 void FleetRollouts::onGossip(const std::string &, const Gossip &gossip)
 {
-    for (const AnswerCounts &row : gossip.answerCounts)
-        if (m_entries.contains(row.service))
-            m_rollout.mergeAnswerCounts(row);
+    for (const AnswerCounts &row : gossip.answerCounts) {
+        if (!m_entries.contains(row.service))
+            continue;
+        // Counts of an earlier process, which started at a later time of day: the clock was set
+        // back.
+        if (row.daemon == m_self && row.incarnation > m_incarnation)
+            m_incarnation = row.incarnation + 1;
+        m_rollout.mergeAnswerCounts(row);
+    }
 }
 
 } // namespace geraniumcart
--- a/tests/fleet_rollouts_test.cpp
+++ b/tests/fleet_rollouts_test.cpp
@@ -404,6 +404,32 @@
     CHECK(fleet.endedAfter() < OrderLength);
 }
 
+// Guards against a daemon whose clock was set back before a restart, and whose counts are ignored.
+TEST_CASE("the counts of a daemon replace those of its earlier process")
+{
+    const auto [failure, earlier] = GENERATE(table<const char *, std::uint64_t>({
+            {"counts after a restart are ignored", 3},
+            {"counts after a restart with the clock set back are ignored", 3'000'000},
+    }));
+    INFO(failure);
+    GatewayFixture fixture({plainRoute()});
+    FleetRollouts rollouts("d0", 1000, fixture.timers, fixture.builder,
+                           {[](const RolloutOrder &) {}, [] { return false; }});
+    rollouts.onRollout({"desk", "v2", 12s, RolloutState::InService, std::nullopt, 4});
+    fixture.advance(100ms);
+    Gossip gossip;
+    gossip.answerCounts = {{"d0", earlier, "desk", "v2", RequestKind::Search, 50, 1, {}}};
+    rollouts.onGossip("peer", gossip);
+    fixture.views.pin()->find("desk")->division.versionCounters->routes[0].addBad();
+    fixture.advance(1s);
+    Gossip sent;
+    rollouts.fill(sent);
+    REQUIRE(sent.answerCounts.size() == 1);
+    CHECK(sent.answerCounts[0].incarnation > earlier);
+    CHECK(sent.answerCounts[0].good == 0);
+    CHECK(sent.answerCounts[0].bad == 1);
+}
+
 // Guards against an old record that permanently keeps searchers from getting requests, and against
 // a finished rollout whose result has no effect.
 TEST_CASE("a finished rollout determines which versions get requests")
