Keep to the request rates that searchers state

Cause: the header with the limit was not read.

A daemon takes its part of the limit from the first answer that states it: the listed daemons share it as they share the allowance for further attempts. Requests that no searcher takes are refused at once, with the time until one does; a request over shards counts such shards as missing. Hedges are not sent to searchers with a limit.

--- a/fuzz/answer_target.h
+++ b/fuzz/answer_target.h
@@ -30,8 +30,8 @@
 /// left then is fed as well, as by a searcher that sends on; it must not change the answer.
 inline AnswerOutcome readAnswer(std::string_view bytes, std::size_t step, OpenAnswers &openAnswers)
 {
-    static const UpstreamHeaderNames Names{"Id",     "Time-Left", "Sign",   "Meant-For",
-                                           "NotRun", "Load",      "Leaving"};
+    static const UpstreamHeaderNames Names{"Id",     "Time-Left", "Sign",    "Meant-For",
+                                           "NotRun", "Load",      "Leaving", "Limit"};
     AnswerReader reader(Names, openAnswers);
     reader.start("r1", false);
     AnswerOutcome outcome;
--- a/include/geraniumcart/exchange.h
+++ b/include/geraniumcart/exchange.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,10 @@
     bool isLeaving = false;
     /// Time for which the searcher wants no further request; zero if it stated none.
     Duration pause{};
+    /// Requests per second that the searcher takes from all daemons together, if it stated a limit.
+    std::optional<double> rateLimit;
+    /// The searcher stated a limit that is not a number. It takes back no earlier limit.
+    bool isRateLimitUnreadable = false;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/include/geraniumcart/load_shedding.h
+++ b/include/geraniumcart/load_shedding.h
@@ -15,10 +15,10 @@
 Duration predictedWait(const Route &route, const std::string &service, const ServingView &view,
                        TimePoint now);
 
-/// Time until enough searchers that asked for a pause may get requests again, so that a request
-/// along the route can be served. It answers the load that makes all searchers of a service, or of
-/// too many shards, ask for a pause: callers return when there is room instead of repeatedly
-/// before.
+/// Time until enough searchers that asked for a pause, or stated a rate limit, may get requests
+/// again, so that a request along the route can be served. It answers the load that makes all
+/// searchers of a service, or of too many shards, ask for that: callers return when there is room
+/// instead of repeatedly before.
 /// @param service service of a route without shards; unused otherwise
 /// @return zero if no pause keeps the request from being served
 Duration pauseLeft(const Route &route, const std::string &service, const ServingView &view,
--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -130,7 +130,8 @@
     /// @param allowsLeaving whether a searcher that is about to stop may get the attempt
     bool isEligible(const Upstream &upstream, TimePoint now, bool allowsLeaving) const;
     /// Records what a searcher announced of itself in an answer.
-    void applyAnnouncements(Upstream &upstream, const UpstreamReply &reply);
+    void applyAnnouncements(const Attempt &attempt, const UpstreamReply &reply);
+    void applyRateLimit(const Attempt &attempt, const UpstreamReply &reply);
     bool tryTakeBudget(Cause cause);
     /// Answer counters of the searcher's version on this kind of route; null while no rollout is in
     /// progress.
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -45,6 +45,20 @@
 };
 using VersionDivisions = std::map<std::string, VersionDivision, std::less<>>;
 
+/// How many daemons share what the fleet as a whole may send: the fixed part of a RetryAllowance,
+/// and the requests that a searcher with a rate limit takes.
+struct AllowancePart
+{
+    /// Number of daemons that callers are sent to, those included that are left out for a moment
+    /// because they are busy.
+    std::uint32_t daemons = 1;
+    /// Whether this daemon is one of them.
+    bool hasPart = false;
+    /// Position of this daemon among them, the same on every daemon that sees the same members.
+    std::uint32_t index = 0;
+    bool operator==(const AllowancePart &) const = default;
+};
+
 /// The searchers of one service that may get new requests.
 struct ServiceUpstreams
 {
@@ -63,6 +77,8 @@
     std::map<std::string, ServiceUpstreams, std::less<>> services;
     /// Hedging policies by route name; all views share the same objects.
     std::map<std::string, std::shared_ptr<HedgingPolicy>, std::less<>> hedging;
+    /// Part of this daemon in what the fleet as a whole may send.
+    AllowancePart part;
     /// Number of searchers in the view that the routes in force use.
     std::size_t routedSearchers = 0;
     /// Daemons that callers may connect to.
@@ -130,17 +146,6 @@
     Duration window = std::chrono::seconds(10);
 };
 
-/// How many daemons share the fixed part of a RetryAllowance.
-struct AllowancePart
-{
-    /// Number of daemons that callers are sent to, those included that are left out for a moment
-    /// because they are busy.
-    std::uint32_t daemons = 1;
-    /// Whether this daemon is one of them.
-    bool hasPart = false;
-    bool operator==(const AllowancePart &) const = default;
-};
-
 /// Keeps the latest state of the fleet and publishes a new view after each change that affects
 /// requests. Used on the control thread only.
 class ServingViewBuilder final : public FleetListener
--- a/include/geraniumcart/upstream.h
+++ b/include/geraniumcart/upstream.h
@@ -81,6 +81,16 @@
     bool markLeaving(TimePoint now);
     /// Records that the searcher has withdrawn the announcement.
     void clearLeaving() { m_leavingSince.store(0, std::memory_order_relaxed); }
+    /// Records that the searcher stated the requests per second that it takes from all daemons.
+    /// @param part requests per second of these that this daemon may send
+    /// @return true if the searcher had no limit before
+    bool limitRate(TimePoint now, double limit, double part);
+    /// Records an answer without a limit to a request that was sent at @p sentAt. It ends the limit
+    /// unless a later answer stated it.
+    /// @return true if the limit has ended
+    bool clearRateLimit(TimePoint sentAt);
+    /// Changes this daemon's part in the limit, if there is one.
+    void setRatePart(TimePoint now, double part);
     /// Records that another searcher answered at this address.
     void markReplaced() { m_isReplaced.store(true, std::memory_order_relaxed); }
 
@@ -100,6 +110,14 @@
     bool isReplaced() const { return m_isReplaced.load(std::memory_order_relaxed); }
     /// Time until which the searcher asked for no requests.
     TimePoint pausedUntil() const { return load(m_pausedUntil); }
+    /// Requests per second that the searcher takes from all daemons together, if it states a limit.
+    std::optional<double> rateLimit() const;
+    /// Time from which the searcher may get a request as far as its pause and its rate limit are
+    /// concerned.
+    TimePoint usableFrom() const;
+    /// Reserves one of the requests that this daemon may send under the searcher's rate limit.
+    /// @return false if none may be sent now
+    bool tryTakeRate(TimePoint now);
     /// Time of the first answer in which the searcher announced that it is about to stop.
     std::optional<TimePoint> leavingSince() const;
     /// True unless the searcher has just been paused and already runs as many requests of this
@@ -150,6 +168,16 @@
     /// Maximum number of requests in flight after a pause; 0 if there is no limit.
     std::atomic<std::uint32_t> m_rampLimit{0};
     std::atomic<bool> m_isReplaced{false};
+    /// Requests per second that the searcher takes from all daemons; negative if it states no
+    /// limit.
+    std::atomic<double> m_rateLimit{-1};
+    /// Time of the last answer that stated a limit.
+    Ticks m_rateLimitSeen{0};
+    /// Time between two requests of this daemon under the limit; 0 if there is no limit.
+    std::atomic<Duration::rep> m_rateInterval{0};
+    /// Time by which the requests sent so far would have been sent at the rate of this daemon's
+    /// part.
+    Ticks m_rateNext{0};
 };
 
 } // namespace geraniumcart
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace geraniumcart {
 
@@ -38,6 +39,17 @@
 double retryAllowancePart(const RetryAllowance &allowance, std::uint32_t members,
                           const AllowancePart &part);
 
+/// This daemon's part in the rate limit of a searcher, in requests per second. The parts of all
+/// daemons together stay below the limit. While daemons save up their parts, or disagree on who is
+/// listed, they together send at most one and a half times what the limit allows in a few seconds,
+/// and a few requests more. If there are more listed daemons than the limit has requests to save
+/// up, only some of them have a part in it; which ones depends on the searcher. The others send it
+/// a request in one to two minutes, to learn when the limit ends.
+/// @param limit requests per second that the searcher takes from all daemons
+/// @param members number of daemons
+double rateLimitPart(double limit, std::string_view instanceId, std::uint32_t members,
+                     const AllowancePart &part);
+
 /// Minimum time between two requests of one daemon to one cold searcher of @p profile. It keeps the
 /// total over all daemons below the searcher's warm-up rate.
 /// @param senders number of daemons that may send to the searcher
--- a/src/connection/answer_reader.cpp
+++ b/src/connection/answer_reader.cpp
@@ -74,6 +74,18 @@
 
 } // namespace
 
+/// Parses a rate limit in requests per second, which may have a fraction.
+/// @return std::nullopt for a negative number and anything else that is not a rate
+std::optional<double> parseRateLimit(std::string_view value)
+{
+    double rate = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), rate);
+    if (error != std::errc() || end != value.data() + value.size() || !std::isfinite(rate) ||
+        rate < 0)
+        return std::nullopt;
+    return rate;
+}
+
 /// Parses one answer into an UpstreamReply.
 class AnswerReader::Parser final : public http::basic_parser<false>
 {
@@ -118,6 +130,8 @@
             reply.isNotRun = true;
         else if (beast::iequals(name, m_names.leaving))
             reply.isLeaving = reply.isLeaving || view(value) == IsLeavingValue;
+        else if (beast::iequals(name, m_names.rateLimit))
+            readRateLimit(view(value));
         else if (field == http::field::retry_after && reply.status == ServiceUnavailable)
             // If there are several fields, the longest time keeps the wish of each.
             reply.pause = std::max(reply.pause, parseRetryAfter(view(value)));
@@ -126,6 +140,15 @@
         if (!isHopByHop(field, view(name)))
             reply.headers.push_back({std::string(view(name)), std::string(view(value))});
     }
+    /// If there are several fields, the lowest limit counts.
+    void readRateLimit(std::string_view value)
+    {
+        const std::optional<double> limit = parseRateLimit(value);
+        if (!limit)
+            reply.isRateLimitUnreadable = true;
+        else
+            reply.rateLimit = std::min(*limit, reply.rateLimit.value_or(*limit));
+    }
     void on_header_impl(error_code &) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t> &size, error_code &) override
     {
--- a/src/connection/answer_reader_p.h
+++ b/src/connection/answer_reader_p.h
@@ -26,6 +26,8 @@
     std::string load;
     /// Field in which a searcher announces that it is about to stop.
     std::string leaving;
+    /// Field in which a searcher states the requests per second that it takes from all daemons.
+    std::string rateLimit;
 };
 
 /// Bytes of the unfinished answers of one worker, for MaxOpenAnswersBytes.
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -140,7 +140,7 @@
     void onMembersChanged();
     /// Selects the entries for callers among the members.
     void applyMembers();
-    /// @return this daemon's part in the allowance for further attempts. A busy daemon keeps its
+    /// @return this daemon's part in what the fleet as a whole may send. A busy daemon keeps its
     /// part, since it is left out of the entries for a moment only.
     AllowancePart allowancePart(std::vector<Member> members,
                                 const std::vector<EntryAddress> &entries) const;
@@ -403,12 +403,15 @@
 {
     for (Member &member : members)
         member.isBusy = false;
-    const std::size_t planned = selectEntries(members, m_listingLimits).size();
+    const std::vector<EntryAddress> planned = selectEntries(members, m_listingLimits);
+    const auto index = std::ranges::count_if(planned, [this](const EntryAddress &entry) {
+        return entry.address < m_settings.callerAddress;
+    });
     const bool isListed = std::ranges::any_of(entries, [this](const EntryAddress &entry) {
         return entry.address == m_settings.callerAddress;
     });
-    return {static_cast<std::uint32_t>(std::max(planned, entries.size())),
-            isListed || m_role.isCandidate};
+    return {static_cast<std::uint32_t>(std::max(planned.size(), entries.size())),
+            isListed || m_role.isCandidate, static_cast<std::uint32_t>(index)};
 }
 
 void GatewayDaemon::Impl::onPeerMessage(const std::string &peer, PeerMessage message)
--- a/src/process/gateway_metrics.cpp
+++ b/src/process/gateway_metrics.cpp
@@ -91,6 +91,10 @@
                 service.upstreams.begin(), service.upstreams.end(),
                 [now](const auto &upstream) { return now < upstream->pausedUntil(); });
         gauge(text, "searchers_paused", labels({{"service", name}}), static_cast<double>(paused));
+        const auto limited = std::count_if(
+                service.upstreams.begin(), service.upstreams.end(),
+                [](const auto &upstream) { return upstream->rateLimit().has_value(); });
+        gauge(text, "searchers_limited", labels({{"service", name}}), static_cast<double>(limited));
         const auto leaving = std::count_if(
                 service.upstreams.begin(), service.upstreams.end(),
                 [](const auto &upstream) { return upstream->leavingSince().has_value(); });
--- a/src/process/upstream.cpp
+++ b/src/process/upstream.cpp
@@ -28,6 +28,11 @@
 /// Time for which a searcher is avoided after a refusal. A full searcher has a free slot after
 /// about the time of one request.
 constexpr std::chrono::milliseconds RefusalSuspicion{15};
+/// Time for which a daemon that does not use its part in a searcher's rate limit saves it up. All
+/// daemons together then send at most the limit for this much longer at once.
+constexpr std::chrono::milliseconds RateSavings{750};
+/// Longest time between two requests to a searcher with a rate limit.
+constexpr std::chrono::seconds MaxRateInterval{120};
 /// Number of requests in flight after a pause from which on their number is not limited any more. A
 /// searcher has two or three slots.
 constexpr std::uint32_t FullRamp = 4;
@@ -112,6 +117,81 @@
     return limit == 0 || inFlight() < limit;
 }
 
+namespace {
+
+/// @return time between two requests at @p part requests per second
+Duration rateInterval(double part)
+{
+    constexpr std::chrono::duration<double> Longest = MaxRateInterval;
+    if (part * Longest.count() <= 1)
+        return MaxRateInterval;
+    return std::max(Duration(1),
+                    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / part)));
+}
+
+} // namespace
+
+bool Upstream::limitRate(TimePoint now, double limit, double part)
+{
+    store(m_rateLimitSeen, now);
+    const bool isNew = m_rateLimit.exchange(limit, std::memory_order_relaxed) < 0;
+    // Nothing is saved up at the start, since other daemons learn of the limit at the same time.
+    if (isNew)
+        store(m_rateNext, now + MaxRateInterval);
+    setRatePart(now, part);
+    return isNew;
+}
+
+bool Upstream::clearRateLimit(TimePoint sentAt)
+{
+    if (m_rateLimit.load(std::memory_order_relaxed) < 0 || sentAt < load(m_rateLimitSeen))
+        return false;
+    m_rateInterval.store(0, std::memory_order_relaxed);
+    return m_rateLimit.exchange(-1, std::memory_order_relaxed) >= 0;
+}
+
+void Upstream::setRatePart(TimePoint now, double part)
+{
+    if (m_rateLimit.load(std::memory_order_relaxed) < 0)
+        return;
+    const Duration interval = rateInterval(part);
+    const Duration::rep previous =
+            m_rateInterval.exchange(interval.count(), std::memory_order_relaxed);
+    // The wait for a request at an earlier, lower rate ends with that rate.
+    if (previous == 0 || interval.count() < previous)
+        store(m_rateNext, std::min(load(m_rateNext), now + interval));
+}
+
+std::optional<double> Upstream::rateLimit() const
+{
+    const double limit = m_rateLimit.load(std::memory_order_relaxed);
+    return limit < 0 ? std::nullopt : std::optional(limit);
+}
+
+TimePoint Upstream::usableFrom() const
+{
+    const Duration interval(m_rateInterval.load(std::memory_order_relaxed));
+    if (interval == Duration::zero())
+        return pausedUntil();
+    const Duration savings = std::max<Duration>(RateSavings - interval, Duration::zero());
+    return std::max(pausedUntil(), load(m_rateNext) - savings);
+}
+
+bool Upstream::tryTakeRate(TimePoint now)
+{
+    const Duration interval(m_rateInterval.load(std::memory_order_relaxed));
+    if (interval == Duration::zero())
+        return true;
+    const Duration savings = std::max<Duration>(RateSavings - interval, Duration::zero());
+    Duration::rep next = m_rateNext.load(std::memory_order_relaxed);
+    const TimePoint earliest = TimePoint(Duration(next)) - savings;
+    if (now < earliest)
+        return false;
+    const TimePoint sent = std::max(now, TimePoint(Duration(next)));
+    return m_rateNext.compare_exchange_strong(next, (sent + interval).time_since_epoch().count(),
+                                              std::memory_order_relaxed);
+}
+
 void Upstream::raiseFailureShare(TimePoint now)
 {
     const double share = failureShare(now);
--- a/src/request/load_shedding.cpp
+++ b/src/request/load_shedding.cpp
@@ -40,15 +40,15 @@
     return best == Duration::max() ? Duration::zero() : best;
 }
 
-/// Time until a searcher of @p service may get requests as far as pauses are concerned; zero if one
-/// may now, max() if no pause ends.
+/// Time until a searcher of @p service may get requests as far as pauses and rate limits are
+/// concerned; zero if one may now, max() if none will.
 Duration shortestPause(const ServiceUpstreams *service, TimePoint now, Duration leavingUse)
 {
     if (!service)
         return Duration::max();
     Duration shortest = Duration::max();
     for (const auto &upstream : service->upstreams) {
-        const TimePoint usableFrom = std::max(now, upstream->pausedUntil());
+        const TimePoint usableFrom = std::max(now, upstream->usableFrom());
         if (availabilityOf(*upstream, usableFrom, leavingUse) != Availability::None)
             shortest = std::min(shortest, usableFrom - now);
     }
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -176,7 +176,9 @@
             });
     const std::shared_ptr<Upstream> upstream =
             m_context.choice.choose(*m_spec.service, now, [&](const Upstream &u) {
-                return isEligible(u, now, allowsLeaving);
+                // What a searcher with a rate limit takes is kept for requests that need it.
+                return isEligible(u, now, allowsLeaving) &&
+                       (cause != Cause::Hedge || !u.rateLimit());
             });
     if (!upstream) {
         // Recorded only the first time, since the call looks again every few milliseconds.
@@ -190,6 +192,8 @@
     if (interval > Duration::zero() && upstream->isCold(now) &&
         !upstream->tryTakeWarmUp(now, interval))
         return Dispatch::NoRoom;
+    if (!upstream->tryTakeRate(now))
+        return Dispatch::NoRoom;
 
     const ExchangeId id =
             m_context.transport.send(upstream, m_spec.request, m_spec.deadline, shared_from_this());
@@ -244,8 +248,9 @@
                                            connectionShare(profile, m_spec.view->listed()));
 }
 
-void ServiceCall::applyAnnouncements(Upstream &upstream, const UpstreamReply &reply)
+void ServiceCall::applyAnnouncements(const Attempt &attempt, const UpstreamReply &reply)
 {
+    Upstream &upstream = *attempt.upstream;
     // Another instance at the address speaks of itself.
     if (reply.isOtherInstance)
         return;
@@ -263,6 +268,27 @@
                   {"address", upstream.address()},
                   {"inFlight", upstream.inFlight()},
                   {"pause", reply.pause}});
+    applyRateLimit(attempt, reply);
+}
+
+void ServiceCall::applyRateLimit(const Attempt &attempt, const UpstreamReply &reply)
+{
+    Upstream &upstream = *attempt.upstream;
+    bool hasChanged = false;
+    if (reply.rateLimit) {
+        const ServingView &view = *m_spec.view;
+        const double part =
+                rateLimitPart(*reply.rateLimit, upstream.instanceId(), view.senders, view.part);
+        hasChanged = upstream.limitRate(m_context.timers.now(), *reply.rateLimit, part);
+    } else if (!reply.isRateLimitUnreadable) {
+        hasChanged = upstream.clearRateLimit(attempt.sentAt);
+    }
+    if (hasChanged)
+        logEvent(LogLevel::Info, reply.rateLimit ? "searcherLimited" : "searcherUnlimited",
+                 {{"instance", upstream.instanceId()},
+                  {"service", upstream.service()},
+                  {"address", upstream.address()},
+                  {"limit", std::to_string(reply.rateLimit.value_or(0))}});
 }
 
 bool ServiceCall::tryTakeBudget(Cause cause)
@@ -319,7 +345,7 @@
     if (!attempt.upstream)
         return;
     const TimePoint now = m_context.timers.now();
-    applyAnnouncements(*attempt.upstream, reply);
+    applyAnnouncements(attempt, reply);
     if (reply.isNotRun) {
         recordStep(reply.isOtherInstance ? TraceStep::OtherInstance : TraceStep::Refused,
                    attempt.upstream.get());
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -1,5 +1,7 @@
 #include <geraniumcart/upstream_choice.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -19,6 +21,22 @@
 /// Largest part of the allowance for further attempts that is kept for daemons that are not listed.
 /// Only callers with old answers of the directory use them.
 constexpr double MaxUnlistedPart = 0.2;
+/// Part of a searcher's rate limit that listed daemons share. The rest is for callers with old
+/// answers of the directory.
+constexpr double ListedRateShare = 0.9;
+/// Number of daemons that have a part in a rate limit of one request per second, and those in
+/// addition. Each of them may save up one request.
+constexpr double DaemonsPerRate = 1.5;
+constexpr double MinDaemonsWithRate = 2;
+/// Largest number of daemons that are not listed and have a part in a rate limit of one request per
+/// second.
+constexpr double UnlistedPerRate = 0.5;
+/// Time after which a daemon without a part in a searcher's rate limit sends it a request, since
+/// only an answer shows that the limit has ended. Daemons wait up to twice as long, so that they do
+/// not all send at the same time.
+constexpr std::chrono::seconds RateProbeInterval{60};
+/// Multiples of this, without their whole part, are spread evenly.
+constexpr double GoldenRatio = 0.618;
 /// Latency assumed for a searcher while no searcher of its service has a known latency.
 constexpr Duration UnknownLatency = std::chrono::milliseconds(10);
 /// Added to the expected wait for a searcher in another availability zone: one network round trip
@@ -62,7 +80,7 @@
 
 Availability availabilityOf(const Upstream &upstream, TimePoint now, Duration leavingUse)
 {
-    if (upstream.isReplaced() || now < upstream.pausedUntil())
+    if (upstream.isReplaced() || now < upstream.usableFrom())
         return Availability::None;
     const auto leavingSince = upstream.leavingSince();
     if (!leavingSince)
@@ -153,6 +171,34 @@
     return (total - unlisted * unlistedPart) / (part.daemons + JoiningDaemons);
 }
 
+namespace {
+
+double rateProbeRate(std::uint32_t index)
+{
+    const double spread = std::fmod(index * GoldenRatio, 1.0);
+    return 1 / (std::chrono::duration<double>(RateProbeInterval).count() * (1 + spread));
+}
+
+} // namespace
+
+double rateLimitPart(double limit, std::string_view instanceId, std::uint32_t members,
+                     const AllowancePart &part)
+{
+    const std::uint32_t listed = std::max(part.daemons, 1U);
+    if (!part.hasPart) {
+        const std::uint32_t unlisted = members - std::min(listed, members);
+        return unlisted == 0 || unlisted > limit * UnlistedPerRate
+                       ? rateProbeRate(part.index)
+                       : limit * (1 - ListedRateShare) / unlisted;
+    }
+    const double most = std::floor(limit * DaemonsPerRate + MinDaemonsWithRate);
+    const auto users = static_cast<std::uint32_t>(std::min<double>(listed, most));
+    const std::uint64_t first = XXH3_64bits(instanceId.data(), instanceId.size()) % listed;
+    if ((first + part.index) % listed >= users)
+        return rateProbeRate(part.index);
+    return std::max(limit * ListedRateShare / users, rateProbeRate(part.index));
+}
+
 Duration warmUpInterval(const ServiceProfile &profile, std::uint32_t senders)
 {
     if (profile.warmUpRate <= 0)
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -190,6 +190,7 @@
     view.routes = m_routes;
     view.entries = m_entries;
     view.senders = m_senders;
+    view.part = m_allowancePart;
     view.isLeaving = m_isLeaving;
     view.leavingUse = std::max<Duration>(m_searcherDrain - DrainMargin, Duration::zero());
     view.publishedAt = m_timers.now();
@@ -222,6 +223,9 @@
             m_zonesOut.contains(entry.record.zone) ||
             !service->second.division.hasShare(entry.record.version))
             continue;
+        if (const auto limit = entry.upstream->rateLimit())
+            entry.upstream->setRatePart(view.publishedAt,
+                                        rateLimitPart(*limit, instanceId, m_senders, view.part));
         service->second.upstreams.push_back(entry.upstream);
         view.routedSearchers += m_routedServices.contains(service->first) ? 1 : 0;
     }
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-const UpstreamHeaderNames Names{"Call-Id",     "Time-Left-Ms", "Signature", "Meant-For",
-                                "Did-Not-Run", "Own-Load",     "Going-Away"};
+const UpstreamHeaderNames Names{"Call-Id",     "Time-Left-Ms", "Signature",  "Meant-For",
+                                "Did-Not-Run", "Own-Load",     "Going-Away", "At-Most"};
 
 /// Memory that the bytes of one answer may take up: the answer itself, its copy in a parser and the
 /// growth of strings.
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -91,6 +91,14 @@
     return reply;
 }
 
+/// Answer of a searcher that takes @p limit requests per second from all daemons.
+inline UpstreamReply limitedReply(double limit)
+{
+    UpstreamReply reply = goodReply();
+    reply.rateLimit = limit;
+    return reply;
+}
+
 /// Answer of a searcher that is about to stop.
 inline UpstreamReply leavingReply()
 {
--- a/tests/upstream_connections_test.cpp
+++ b/tests/upstream_connections_test.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-const UpstreamHeaderNames Names{"Call-Id",     "Time-Left-Ms", "Signature", "Meant-For",
-                                "Did-Not-Run", "Own-Load",     "Going-Away"};
+const UpstreamHeaderNames Names{"Call-Id",     "Time-Left-Ms", "Signature",  "Meant-For",
+                                "Did-Not-Run", "Own-Load",     "Going-Away", "At-Most"};
 
 /// Maximum time to wait for an outcome.
 constexpr auto TestTimeout = 3s;
@@ -310,6 +310,46 @@
     CHECK(outcome->reply->isLeaving == isLeaving);
 }
 
+// Guards against more requests than a searcher takes, and against a value of the field that ends
+// the exchange or takes the searcher out of use.
+TEST_CASE("a searcher's rate limit is read from every kind of answer")
+{
+    using Limit = std::optional<double>;
+    const auto [failure, status, fields, limit, isUnreadable] =
+            GENERATE(table<const char *, const char *, const char *, Limit, bool>({
+                    {"an absent field limits the searcher", "200 OK", "", std::nullopt, false},
+                    {"a whole number is ignored", "200 OK", "At-Most: 20\r\n", 20.0, false},
+                    {"a fraction is cut off", "200 OK", "at-most: 8.25\r\n", 8.25, false},
+                    {"the limit in a refusal is ignored", "503 Full", "At-Most: 3\r\n", 3.0, false},
+                    {"the limit in an error is ignored", "500 Error", "At-Most: 3\r\n", 3.0, false},
+                    {"zero is no limit", "200 OK", "At-Most: 0\r\n", 0.0, false},
+                    {"a negative number is a limit", "200 OK", "At-Most: -4\r\n", std::nullopt,
+                     true},
+                    {"a huge number is refused", "200 OK", "At-Most: 1e12\r\n", 1e12, false},
+                    {"a number out of range is a limit", "200 OK", "At-Most: 1e999\r\n",
+                     std::nullopt, true},
+                    {"infinity is a limit", "200 OK", "At-Most: inf\r\n", std::nullopt, true},
+                    {"nan is a limit", "200 OK", "At-Most: nan\r\n", std::nullopt, true},
+                    {"a word is a limit", "200 OK", "At-Most: few\r\n", std::nullopt, true},
+                    {"a number with a unit is a limit", "200 OK", "At-Most: 9/s\r\n", std::nullopt,
+                     true},
+                    {"an empty value is a limit", "200 OK", "At-Most: \r\n", std::nullopt, true},
+                    {"the higher of two fields counts", "200 OK", "At-Most: 9\r\nAt-Most: 4\r\n",
+                     4.0, false},
+                    {"an unreadable field hides another one", "200 OK",
+                     "At-Most: few\r\nAt-Most: 4\r\n", 4.0, true},
+            }));
+    INFO(failure);
+    Fixture fixture([bytes = std::string("HTTP/1.1 ") + status + "\r\nCall-Id: r1\r\n" + fields +
+                             "Content-Length: 0\r\n\r\n"](const std::string &) {
+        return RawAnswer{bytes};
+    });
+    const auto outcome = fixture.exchange("r1");
+    REQUIRE(outcome->reply);
+    CHECK(outcome->reply->rateLimit == limit);
+    CHECK(outcome->reply->isRateLimitUnreadable == isUnreadable);
+}
+
 // Guards against a request that counts as possibly run although no connection could be opened, and
 // against one that counts as not sent although it was written.
 TEST_CASE("a request to a searcher that refuses connections counts as not sent")
