Answer requests that are still open at the end of a planned stop

Reported by operators of a similar system: requests that came late in the grace period were passed on, and cut without an answer at its end.

It could happen here. A stopping daemon serves the requests of its kept connections, with their whole timeout, and ends its process 0.4 s before the grace period does, whatever is open: an at-most-once request that arrived at 3.4 s and ran for more than 2.2 s was cut.

A request is now refused, as not run, if less than its latency objective is left before the end (four times that if it must not be repeated, since it cannot be tried elsewhere once it is sent). Requests that are still open 0.6 s before the end of the grace period end as at their deadline: 504, or 503 if nothing was sent.

--- a/include/geraniumcart/gateway.h
+++ b/include/geraniumcart/gateway.h
@@ -82,6 +82,8 @@
     /// Reports that the caller has disconnected. The callback is not called any more. Attempts that
     /// are still open are cancelled after a short delay, unless the request must not be repeated.
     virtual void abandon() = 0;
+    /// Ends the run as if its deadline had passed. The callback is called before this returns.
+    virtual void expire() = 0;
 };
 
 /// Inputs of a run.
@@ -132,6 +134,8 @@
     /// Reports that the caller has disconnected; see RoutedRun::abandon(). The callback of the
     /// request is not called any more. The id of a request that has ended is ignored.
     void abandon(std::uint64_t id);
+    /// Ends all open requests as if their deadlines had passed, at the end of a planned stop.
+    void endOpenRequests();
     /// Number of requests that have started and not ended. Thread-safe.
     std::uint32_t running() const { return m_running.load(std::memory_order_acquire); }
     ServingViewPin view() const { return m_views.pin(); }
--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -99,6 +99,8 @@
     /// Drops the callback, since the result is no longer needed. Open attempts run to their end and
     /// their latency is still recorded.
     void release();
+    /// Ends the call as if its deadline had passed.
+    void expire();
     /// Cancels all open attempts, which makes the searchers stop work on them. The call must be
     /// released or finished.
     void cancelExchanges();
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,6 +86,8 @@
     std::vector<EntryAddress> entries;
     /// True during a planned stop: answers ask callers to connect to another daemon.
     bool isLeaving = false;
+    /// When open requests will be ended, once a planned stop has begun.
+    std::optional<TimePoint> endsAt;
     TimePoint publishedAt{};
 
     /// Time for which a searcher may still get requests after it has announced in an answer that it
@@ -178,7 +181,8 @@
     void setEntries(std::vector<EntryAddress> entries, std::uint32_t senders,
                     const AllowancePart &retries);
     /// Marks this daemon as leaving in all later views, for a planned stop.
-    void setLeaving();
+    /// @param endsAt when open requests will be ended
+    void setLeaving(TimePoint endsAt);
     /// @param divisions by service; services without one treat all versions alike
     void setDivisions(VersionDivisions divisions);
     /// @return true if @p service has a searcher of this back-end version that is not draining
@@ -230,6 +234,7 @@
     bool m_hasSearchers = false;
     AllowancePart m_allowancePart;
     bool m_isLeaving = false;
+    std::optional<TimePoint> m_endsAt;
     bool m_isPublishDue = false;
 };
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -17,6 +17,18 @@
 constexpr double MinRetryFactor = 0.5;
 /// Callers that were refused until the same moment return spread over this share of their wait.
 constexpr double RetrySpread = 0.5;
+/// During a planned stop, a request is refused if less than this multiple of its latency objective
+/// is left. A request that must not be repeated cannot be tried elsewhere once it has been sent.
+constexpr int ObjectivesLeft = 1;
+constexpr int ObjectivesLeftAtMostOnce = 4;
+
+/// @return true if a planned stop may end a request along @p route before it is answered
+bool endsTooSoon(const Route &route, const ServingView &view, TimePoint now)
+{
+    const int objectives =
+            route.kind == RouteKind::AtMostOnce ? ObjectivesLeftAtMostOnce : ObjectivesLeft;
+    return view.endsAt && now + objectives * route.latencyObjective > *view.endsAt;
+}
 
 } // namespace
 
@@ -81,6 +93,8 @@
     const std::string service = call.route->isScattered() ? std::string() : pickTarget(*call.route);
     if (!call.route->isScattered() && !call.view->find(service))
         return refuse(call, RoutedStatus::Refused, NotReadyRetryAfter);
+    if (endsTooSoon(*call.route, *call.view, m_calls.timers.now()))
+        return refuse(call, RoutedStatus::Refused, NotReadyRetryAfter);
     const Duration predicted =
             predictedWait(*call.route, service, *call.view, m_calls.timers.now());
     std::uniform_real_distribution<double> chance(0, 1);
@@ -174,6 +188,15 @@
     m_running.fetch_sub(1, std::memory_order_acq_rel);
 }
 
+void Gateway::endOpenRequests()
+{
+    std::vector<std::shared_ptr<RoutedRun>> runs;
+    for (const auto &[id, call] : m_openCalls)
+        runs.push_back(call.run);
+    for (const std::shared_ptr<RoutedRun> &run : runs)
+        run->expire();
+}
+
 void Gateway::logRequest(const Call &call, const RoutedAnswer &answer, Duration took)
 {
     const TimePoint now = m_calls.timers.now();
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -38,6 +38,9 @@
 constexpr std::chrono::milliseconds AcceptWhileLeaving{3500};
 /// Part of the stop grace period that is reserved for ending the process.
 constexpr std::chrono::milliseconds StopReserve{400};
+/// Part of the stop grace period, before StopReserve, in which the last answers are sent: requests
+/// that are still open then are answered instead of being cut off.
+constexpr std::chrono::milliseconds AnswerReserve{200};
 /// Interval at which a planned stop checks whether the last requests have ended.
 constexpr std::chrono::milliseconds StopPollInterval{20};
 /// Membership changes within this time are applied together: roles and entries are computed over
@@ -441,7 +444,12 @@
     const TimePoint latestEnd = m_timers.now() + m_settings.stopGrace - StopReserve;
     logEvent(LogLevel::Info, "leaving", {{"running", runningCalls()}});
     m_membership->announceLeaving();
-    m_builder.setLeaving();
+    const TimePoint requestsEnd = latestEnd - AnswerReserve;
+    m_builder.setLeaving(requestsEnd);
+    m_timers.schedule(requestsEnd - m_timers.now(), [this] {
+        for (const auto &worker : m_gatewayWorkers)
+            worker->postEndOfRequests();
+    });
     m_timers.schedule(AcceptWhileLeaving, [this, latestEnd] {
         drainCallers();
         awaitLastCall(latestEnd);
--- a/src/process/gateway_worker.cpp
+++ b/src/process/gateway_worker.cpp
@@ -68,6 +68,11 @@
     m_lag->start();
 }
 
+void GatewayWorker::postEndOfRequests()
+{
+    boost::asio::post(m_worker.context, [this] { m_gateway.endOpenRequests(); });
+}
+
 void GatewayWorker::postViewChanged()
 {
     boost::asio::post(m_worker.context, [this] { onViewChanged(); });
--- a/src/process/gateway_worker_p.h
+++ b/src/process/gateway_worker_p.h
@@ -54,6 +54,8 @@
     /// Starts exporting counters and measuring load. Call before the thread of the worker starts.
     /// @param busyChanged called on the worker when it becomes busy or is no longer busy
     void start(std::function<void(bool isBusy)> busyChanged);
+    /// Ends all open requests, see Gateway::endOpenRequests(). Thread-safe.
+    void postEndOfRequests();
     /// Makes the worker adapt its connections to the current view. Thread-safe.
     void postViewChanged();
     /// Adds the numbers of connections at the last export, and of those that were opened and closed
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -90,6 +90,8 @@
             releaseCalls(m_spec.calls.timers, {m_call});
     }
 
+    void expire() override { m_call->expire(); }
+
 private:
     void onResult(CallResult result)
     {
@@ -144,6 +146,12 @@
         releaseCalls(m_spec.calls.timers, std::exchange(m_calls, {}));
     }
 
+    void expire() override
+    {
+        if (m_done)
+            finish(RoutedStatus::TimedOut, m_spec.calls.timers.now());
+    }
+
 private:
     bool isServableShard(const std::string &shard) const
     {
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -110,6 +110,12 @@
     disarm();
 }
 
+void ServiceCall::expire()
+{
+    if (isOpen())
+        onDeadline();
+}
+
 void ServiceCall::cancelExchanges()
 {
     for (const auto &[id, attempt] : std::exchange(m_attempts, {})) {
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -153,9 +153,10 @@
     schedulePublish();
 }
 
-void ServingViewBuilder::setLeaving()
+void ServingViewBuilder::setLeaving(TimePoint endsAt)
 {
     m_isLeaving = true;
+    m_endsAt = endsAt;
     schedulePublish();
 }
 
@@ -192,6 +193,7 @@
     view.senders = m_senders;
     view.part = m_allowancePart;
     view.isLeaving = m_isLeaving;
+    view.endsAt = m_endsAt;
     view.leavingUse = std::max<Duration>(m_searcherDrain - DrainMargin, Duration::zero());
     view.publishedAt = m_timers.now();
     if (m_routes) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -44,6 +44,59 @@
 
 } // namespace
 
+// Guards against requests that a stopping daemon takes although it cannot answer them in time, and
+// against a stop that refuses requests which it could serve.
+TEST_CASE("a request that a planned stop may cut off is refused when it arrives")
+{
+    const auto [failure, kind, left,
+                isSent] = GENERATE(table<const char *, RouteKind, Duration, bool>({
+            {"a repeatable request is taken too late", RouteKind::Idempotent, 150ms, false},
+            {"a repeatable request is refused too early", RouteKind::Idempotent, 250ms, true},
+            {"an at-most-once request is taken too late", RouteKind::AtMostOnce, 700ms, false},
+            {"an at-most-once request is refused too early", RouteKind::AtMostOnce, 900ms, true},
+    }));
+    INFO(failure);
+    GatewayFixture fixture({plainRoute(kind)});
+    fixture.add(searcher("desk", "a"));
+    fixture.builder.setLeaving(fixture.timers.now() + left);
+    fixture.advance(Duration::zero());
+    fixture.request("/plain/1");
+    fixture.advance(Duration::zero());
+    CHECK(fixture.transport.sent.size() == (isSent ? 1 : 0));
+    if (isSent)
+        return;
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].status == RoutedStatus::Refused);
+    CHECK(fixture.answers[0].shouldClose);
+}
+
+// Guards against connections that a planned stop closes without an answer, and against an answer
+// that promises that a request did not run although a searcher has it.
+TEST_CASE("open requests are answered at the end of a planned stop")
+{
+    const auto [failure, kind, isFull, status] =
+            GENERATE(table<const char *, RouteKind, bool, RoutedStatus>({
+                    {"a repeatable request is cut off", RouteKind::Idempotent, false,
+                     RoutedStatus::TimedOut},
+                    {"an at-most-once request is cut off, or called not run", RouteKind::AtMostOnce,
+                     false, RoutedStatus::TimedOut},
+                    {"a request that was not sent is called possibly run", RouteKind::AtMostOnce,
+                     true, RoutedStatus::Refused},
+            }));
+    INFO(failure);
+    GatewayFixture fixture({plainRoute(kind)});
+    fixture.add(searcher("desk", "a"));
+    if (isFull)
+        fixture.transport.full.insert("a");
+    fixture.request("/plain/1");
+    fixture.advance(20ms);
+    REQUIRE(fixture.answers.empty());
+    fixture.gateway.endOpenRequests();
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].status == status);
+    CHECK(fixture.gateway.running() == 0);
+}
+
 // Guards against an at-most-once request that is sent again although a searcher may have run it,
 // and against a retry that is missing although the first searcher provably did not run the request.
 TEST_CASE("a request without an answer is retried only if the route allows it")
