Test answers that end within their head

Reported by operators of a similar system: a searcher stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/tests/direct_sender_test.cpp
+++ b/tests/direct_sender_test.cpp
@@ -194,6 +194,8 @@
              SubRequestFailure::ConnectionLost},
             {"a truncated answer is accepted", Reaction::CloseInAnswer, RequestKind::Book,
              SubRequestFailure::ConnectionLost},
+            {"an answer that ends in its head is accepted", Reaction::CloseInHead,
+             RequestKind::Book, SubRequestFailure::ConnectionLost},
             {"a missing answer is awaited past the deadline", Reaction::Silent, RequestKind::Book,
              SubRequestFailure::TimedOut},
             {"Not-Run is ignored", Reaction::NotRun, RequestKind::Book, SubRequestFailure::Refused},
--- a/tests/tiny_searcher.h
+++ b/tests/tiny_searcher.h
@@ -32,6 +32,7 @@
     ResetAfterRequest,
     ResetInAnswer,
     CloseInAnswer,
+    CloseInHead,
     CloseAfterAnswer,
     NotRun,
     Shed,
@@ -229,6 +230,8 @@
         case Reaction::ResetInAnswer:
         case Reaction::CloseInAnswer:
             return write(session, good.substr(0, good.size() - 3), now);
+        case Reaction::CloseInHead:
+            return write(session, good.substr(0, good.find("\r\n\r\n")), now);
         case Reaction::CloseAfterAnswer:
             return write(session, answer("200 OK", own + "Connection: close\r\n", "{}"), now);
         case Reaction::NotRun:
