--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -45,7 +45,8 @@
     virtual void onStoredObject(StoredObject object) = 0;
     /// Called after all keys that begin with @p prefix were read at @p revision. Older objects with
     /// that prefix that are not in @p keys have been deleted.
-    /// @param isComplete false if the list may lack objects that were written before @p revision
+    /// @param isComplete false if the list may lack objects that were written before @p revision;
+    /// it deletes nothing then
     virtual void onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                               std::uint64_t revision, bool isComplete) = 0;
     /// Called after each answer of the store.
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -317,8 +317,9 @@
 void FleetRelay::onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                               std::uint64_t revision, bool isComplete)
 {
-    if (isComplete)
-        m_listRevisions[prefix] = std::max(m_listRevisions[prefix], revision);
+    if (!isComplete)
+        return;
+    m_listRevisions[prefix] = std::max(m_listRevisions[prefix], revision);
     for (StoredObject &object : m_replica.all()) {
         if (!object.key.starts_with(prefix) || object.value.empty() || keys.contains(object.key) ||
             object.version >= revision)
