--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -196,9 +196,10 @@
     GatewayFixture fixture({scatterRoute(4, 0.75)});
     for (int i = 0; i < 4; ++i)
         fixture.add(searcher("shard" + std::to_string(i), "s" + std::to_string(i)));
-    const auto replyAll = [&](std::size_t first) {
+    const std::string firstUnlimited = "s" + std::to_string(limited);
+    const auto replyAll = [&fixture, &firstUnlimited](std::size_t first) {
         for (std::size_t i = first; i < fixture.transport.sent.size(); ++i)
-            fixture.transport.reply(i, fixture.transport.instance(i) < "s" + std::to_string(limited)
+            fixture.transport.reply(i, fixture.transport.instance(i) < firstUnlimited
                                                ? limitedReply(1)
                                                : goodReply());
     };
--- a/tests/truncated_heads_test.cpp
+++ b/tests/truncated_heads_test.cpp
@@ -1,12 +1,8 @@
-#include "support/fake_fleet.h"
-#include "support/raw_server.h"
-
 #include "connection/answer_reader_p.h"
 
 #include <catch2/catch.hpp>
 
 using namespace geraniumcart;
-using namespace geraniumcart::test;
 
 namespace {
 
