--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 # the disruption. Run after the build of the deploy file and review/build.sh.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-[ -x target/geraniumcart-gateway ] && [ -x review/bin/drain_retry ] || exit 2
+[ -x target/geraniumcart-gateway ] && [ -x review/bin/missed_removal ] || exit 2
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-review/bin/drain_retry "$work" "$folder/record.txt"
+review/bin/missed_removal "$work" "$folder/record.txt"
--- a/review/standin/drain_retry.cpp
+++ b/review/standin/drain_retry.cpp
@@ -26,7 +26,8 @@
 constexpr int RequestsPerGateway = 20;
 constexpr std::size_t Slots = 3;
 constexpr std::size_t QueueLength = 12;
-constexpr const char *Host = "127.0.0.1";
+/// Runs at the same time use other addresses, so that they do not take each other's ports.
+const std::string Host = loopbackHost();
 
 /// A searcher with a few slots and a short queue.
 struct Desk
@@ -66,8 +67,7 @@
         for (const auto &gateway : m_gateways)
             gateway->start(m_store.address(), seeds);
         beat();
-        runFor(3000ms);
-        if (!isReady()) {
+        if (!awaitReady()) {
             m_record.write("a gateway is not ready");
             return 2;
         }
@@ -256,16 +256,21 @@
         });
     }
 
-    bool isReady()
+    /// @return false if a gateway is not ready some seconds after its start
+    bool awaitReady()
     {
-        std::size_t count = 0;
-        for (const auto &gateway : m_gateways)
-            std::make_shared<ClientCall>(
-                    m_context, "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n",
-                    [&count](const Answer &answer) { count += answer.status == 200; })
-                    ->start(gateway->ready, 1000ms);
-        runFor(1200ms);
-        return count == m_gateways.size();
+        for (int tries = 0; tries < 8; ++tries) {
+            std::size_t count = 0;
+            for (const auto &gateway : m_gateways)
+                std::make_shared<ClientCall>(
+                        m_context, "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n",
+                        [&count](const Answer &answer) { count += answer.status == 200; })
+                        ->start(gateway->ready, 1000ms);
+            runFor(1200ms);
+            if (count == m_gateways.size())
+                return true;
+        }
+        return false;
     }
 
     void runFor(milliseconds time)
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -25,6 +25,14 @@
 
 namespace json = boost::json;
 
+/// @return a loopback address for this process
+inline std::string loopbackHost()
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + process / 250 % 250) + '.' +
+           std::to_string(1 + process % 250) + ".1";
+}
+
 /// Writes record.txt. Times are in milliseconds since the start.
 class Record
 {
