--- a/review/standin/drain_retry.cpp
+++ b/review/standin/drain_retry.cpp
@@ -21,8 +21,8 @@
 /// Numbers of searchers in the gateways' zone and in the other one.
 constexpr int OwnZone = 2;
 constexpr int OtherZone = 12;
-constexpr int Rounds = 5;
-constexpr milliseconds RoundTime = 14000ms;
+constexpr int Rounds = 11;
+constexpr milliseconds RoundTime = 9000ms;
 constexpr int RequestsPerGateway = 20;
 constexpr std::size_t Slots = 3;
 constexpr std::size_t QueueLength = 12;
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -384,11 +384,18 @@
         , zone(std::move(ownZone))
         , m_options(options)
     {
-        std::vector<Tcp::acceptor> held;
+        // Ports that were chosen before are not chosen again. They are below the range from which
+        // the system takes the ports of outgoing connections.
+        static std::uint16_t port = 10000 + static_cast<std::uint16_t>(::getpid() % 200) * 100;
         for (std::string *address : {&callers, &directory, &ready, &metrics, &peers}) {
-            held.emplace_back(context, Tcp::endpoint(asio::ip::make_address(options.host), 0));
-            *address = options.host + ":" +
-                       std::to_string(held.back().local_endpoint().port());
+            const auto host = asio::ip::make_address(options.host);
+            Error error;
+            do {
+                Tcp::acceptor acceptor(context);
+                acceptor.open(Tcp::v4());
+                acceptor.bind(Tcp::endpoint(host, ++port), error);
+            } while (error);
+            *address = options.host + ":" + std::to_string(port);
         }
     }
     ~Gateway() { kill(SIGKILL); }
