--- a/review/standin/drain_retry.cpp
+++ b/review/standin/drain_retry.cpp
@@ -55,8 +55,8 @@
         for (int i = 0; i < OwnZone + OtherZone; ++i)
             addDesk(i < OwnZone ? "z1" : "z2");
         for (int i = 1; i <= 2; ++i)
-            m_gateways.push_back(std::make_unique<Gateway>(m_context, options,
-                                                           "g" + std::to_string(i), "z1"));
+            m_gateways.push_back(
+                    std::make_unique<Gateway>(m_context, options, "g" + std::to_string(i), "z1"));
     }
 
     int run()
@@ -229,16 +229,15 @@
     {
         const std::string id = "r" + std::to_string(++m_sent);
         m_record.write("client sends " + id + " to " + gateway.name);
-        std::make_shared<ClientCall>(m_context,
-                                     "GET /loan/" + id +
-                                             " HTTP/1.1\r\nHost: lend.example\r\nRequest-Id: " +
-                                             id + "\r\nDeadline-Ms: 6000\r\n\r\n",
-                                     [this, id](const Answer &answer) {
-                                         m_answered += answer.status == 200;
-                                         m_record.write("client got for " + id + ": " +
-                                                        std::to_string(answer.status) + " " +
-                                                        answer.error);
-                                     })
+        std::make_shared<ClientCall>(
+                m_context,
+                "GET /loan/" + id + " HTTP/1.1\r\nHost: lend.example\r\nRequest-Id: " + id +
+                        "\r\nDeadline-Ms: 6000\r\n\r\n",
+                [this, id](const Answer &answer) {
+                    m_answered += answer.status == 200;
+                    m_record.write("client got for " + id + ": " + std::to_string(answer.status) +
+                                   " " + answer.error);
+                })
                 ->start(gateway.callers, 7000ms);
     }
 
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -57,17 +57,17 @@
 
     void read()
     {
-        asio::async_read_until(socket, m_buffer, "\r\n\r\n",
-                               [self = shared_from_this()](Error error, std::size_t size) {
-                                   if (error) {
-                                       self->onEnd();
-                                       return;
-                                   }
-                                   self->head.assign(size, '\0');
-                                   std::istream(&self->m_buffer)
-                                           .read(self->head.data(), static_cast<long>(size));
-                                   self->readBody();
-                               });
+        asio::async_read_until(
+                socket, m_buffer, "\r\n\r\n",
+                [self = shared_from_this()](Error error, std::size_t size) {
+                    if (error) {
+                        self->onEnd();
+                        return;
+                    }
+                    self->head.assign(size, '\0');
+                    std::istream(&self->m_buffer).read(self->head.data(), static_cast<long>(size));
+                    self->readBody();
+                });
     }
     /// Writes an answer and reads the next request.
     void answer(std::string text)
@@ -99,17 +99,17 @@
         const std::size_t size =
                 std::strtoul(headerValue(head, "Content-Length").c_str(), nullptr, 10);
         const std::size_t missing = size - std::min(size, m_buffer.size());
-        asio::async_read(socket, m_buffer, asio::transfer_exactly(missing),
-                         [self = shared_from_this(), size](Error error, std::size_t) {
-                             if (error) {
-                                 self->onEnd();
-                                 return;
-                             }
-                             self->body.assign(size, '\0');
-                             std::istream(&self->m_buffer)
-                                     .read(self->body.data(), static_cast<long>(size));
-                             self->m_onRequest(self);
-                         });
+        asio::async_read(
+                socket, m_buffer, asio::transfer_exactly(missing),
+                [self = shared_from_this(), size](Error error, std::size_t) {
+                    if (error) {
+                        self->onEnd();
+                        return;
+                    }
+                    self->body.assign(size, '\0');
+                    std::istream(&self->m_buffer).read(self->body.data(), static_cast<long>(size));
+                    self->m_onRequest(self);
+                });
     }
     void onEnd()
     {
@@ -219,18 +219,18 @@
     }
     void read()
     {
-        asio::async_read_until(
-                m_socket, m_buffer, "\r\n\r\n",
-                [self = shared_from_this()](Error error, std::size_t size) {
-                    if (error) {
-                        self->finish("read: " + error.message());
-                        return;
-                    }
-                    self->m_answer.head.assign(size, '\0');
-                    std::istream(&self->m_buffer)
-                            .read(self->m_answer.head.data(), static_cast<long>(size));
-                    self->readBody();
-                });
+        asio::async_read_until(m_socket, m_buffer, "\r\n\r\n",
+                               [self = shared_from_this()](Error error, std::size_t size) {
+                                   if (error) {
+                                       self->finish("read: " + error.message());
+                                       return;
+                                   }
+                                   self->m_answer.head.assign(size, '\0');
+                                   std::istream(&self->m_buffer)
+                                           .read(self->m_answer.head.data(),
+                                                 static_cast<long>(size));
+                                   self->readBody();
+                               });
     }
     void readBody()
     {
--- a/review/standin/missed_removal.cpp
+++ b/review/standin/missed_removal.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds Longer = 5000ms;
 constexpr milliseconds Heartbeat = 1200ms;
 constexpr milliseconds Work = 30ms;
-constexpr milliseconds RequestInterval = 50ms;
+constexpr milliseconds RequestInterval = 80ms;
 /// Names and zones of the gateways, as in the deployment, and whether they are killed.
 struct Place
 {
@@ -39,8 +39,8 @@
 constexpr milliseconds RestartDelay = 500ms;
 /// Time from the kill to the removal of the entry.
 constexpr milliseconds RemovalDelay = 200ms;
-constexpr int Searchers = 6;
-constexpr int Rounds = 4;
+constexpr int Searchers = 12;
+constexpr int Rounds = 7;
 constexpr milliseconds RoundTime = 14000ms;
 /// Runs at the same time use other addresses, so that they do not take each other's ports.
 const std::string Host = loopbackHost();
@@ -84,10 +84,11 @@
                 m_record.write("a gateway ended");
                 return 2;
             }
-        m_record.write("of " + std::to_string(m_sent) + " requests " + std::to_string(m_answered) +
-                       " were answered with 200; " + std::to_string(m_late) +
-                       " reached a searcher more than drain_ms after its entry was removed, at most " +
-                       std::to_string(m_latest) + " ms after it");
+        m_record.write(
+                "of " + std::to_string(m_sent) + " requests " + std::to_string(m_answered) +
+                " were answered with 200; " + std::to_string(m_late) +
+                " reached a searcher more than drain_ms after its entry was removed, at most " +
+                std::to_string(m_latest) + " ms after it");
         return m_late > 0 ? 1 : 0;
     }
 
@@ -144,6 +145,7 @@
         Searcher &leaving = *m_present.front();
         m_present.erase(m_present.begin());
         m_store.remove("servers", leaving.id);
+        leaving.isLeaving = true;
         m_removedAt[leaving.id] = m_record.now();
         m_record.write("the store has removed the entry of " + leaving.id);
         runFor(RestartDelay - RemovalDelay);
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -153,8 +153,7 @@
             session->answer(jsonAnswer(404, json::object()));
             return;
         }
-        const std::string path =
-                target.substr(Prefix.size(), target.find('?') - Prefix.size());
+        const std::string path = target.substr(Prefix.size(), target.find('?') - Prefix.size());
         const std::size_t slash = path.find('/');
         const std::string kind = path.substr(0, slash);
         if (method == "GET" && slash == std::string::npos) {
@@ -163,8 +162,8 @@
                 list(session, kind, parameter(target, "after"));
             else
                 watch(session, kind, std::strtoull(watched.c_str(), nullptr, 10),
-                      milliseconds(std::strtoul(parameter(target, "wait_ms").c_str(), nullptr,
-                                                10)));
+                      milliseconds(
+                              std::strtoul(parameter(target, "wait_ms").c_str(), nullptr, 10)));
             return;
         }
         if (method == "PUT" && path.ends_with("/status")) {
@@ -270,9 +269,8 @@
 class Searcher
 {
 public:
-    using Handler =
-            std::function<void(Searcher &searcher, const std::shared_ptr<Session> &session,
-                               const std::string &requestId)>;
+    using Handler = std::function<void(Searcher &searcher, const std::shared_ptr<Session> &session,
+                                       const std::string &requestId)>;
 
     Searcher(asio::io_context &context, const std::string &host, std::string ownService,
              std::string ownId, std::string ownZone, Record &record, Handler handler)
@@ -292,14 +290,10 @@
     std::string address() const { return m_server.address; }
     json::object entry(const std::string &state)
     {
-        return {{"service", service},
-                {"address", m_server.address},
-                {"zone", zone},
-                {"config_version", "v1"},
-                {"slots", 3},
-                {"state", state},
-                {"warmup_left_ms", 0},
-                {"sequence_number", ++m_sequence},
+        return {{"service", service},  {"address", m_server.address},
+                {"zone", zone},        {"config_version", "v1"},
+                {"slots", 3},          {"state", state},
+                {"warmup_left_ms", 0}, {"sequence_number", ++m_sequence},
                 {"born", m_born}};
     }
     /// Answers with success after @p time, unless the searcher ended or the connection was closed.
@@ -437,8 +431,8 @@
         for (const int descriptor : {STDOUT_FILENO, STDERR_FILENO})
             ::posix_spawn_file_actions_addopen(&actions, descriptor, log.c_str(),
                                                O_WRONLY | O_CREAT | O_APPEND, 0644);
-        const int failed = ::posix_spawn(&process, arguments[0], &actions, nullptr, arguments,
-                                         environment);
+        const int failed =
+                ::posix_spawn(&process, arguments[0], &actions, nullptr, arguments, environment);
         ::posix_spawn_file_actions_destroy(&actions);
         if (failed != 0) {
             process = 0;
