--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,7 @@
 [ -x target/geraniumcart-gateway ] && [ -x review/bin/drain_retry ] || exit 2
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-review/bin/drain_retry "$work" "$folder/record.txt"
+trap 'kill "$case_id"; wait "$case_id"; exit 2' TERM INT HUP
+review/bin/drain_retry "$work" "$folder/record.txt" &
+case_id=$!
+wait "$case_id"
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")"
 
 mkdir -p bin
-for source in standin/*.cpp; do
-    g++ -std=c++20 -O1 -Wall -Wextra -o "bin/$(basename "$source" .cpp)" "$source" -lboost_json -pthread
+for source in standin/*.cc; do
+    g++ -std=c++20 -O1 -Wall -Wextra -o "bin/$(basename "$source" .cc)" "$source" -lboost_json -pthread
 done
--- a/review/standin/drain_retry.cpp
+++ b/review/standin/drain_retry.cc
@@ -1,6 +1,6 @@
 // Two of fourteen searchers go dark, and another one leaves as planned. Requests that were sent to
 // the dark ones get their second attempt at the one that leaves, after its drain time is over.
-#include "platform.h"
+#include "platform.hpp"
 
 #include <cstdlib>
 #include <deque>
@@ -303,6 +303,7 @@
         std::cerr << "usage: " << argv[0] << " FOLDER RECORD\n";
         return 2;
     }
+    endProcessesOnSignal();
     const char *trouble = std::getenv("TROUBLE");
     try {
         Record record(argv[2]);
--- a/review/standin/missed_removal.cpp
+++ b/review/standin/missed_removal.cc
@@ -1,6 +1,6 @@
 // Two of seven gateways are killed at the same moment, and the entry of a searcher is removed from
 // the store before they are back. Gateways that were not killed go on sending to the searcher.
-#include "platform.h"
+#include "platform.hpp"
 
 #include <array>
 #include <cstdlib>
@@ -286,6 +286,7 @@
         std::cerr << "usage: " << argv[0] << " FOLDER RECORD\n";
         return 2;
     }
+    endProcessesOnSignal();
     const char *trouble = std::getenv("TROUBLE");
     try {
         Record record(argv[2]);
--- a/review/standin/platform.h
+++ b/review/standin/platform.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "http.h"
+#include "http.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <cstdint>
 #include <fcntl.h>
@@ -359,6 +361,30 @@
     std::uint64_t m_sequence = 0;
 };
 
+/// Processes that were started and have not been waited for, for the signal handler.
+inline std::array<std::atomic<pid_t>, 16> startedProcesses{};
+
+/// Ends all processes that were started if a signal ends this one.
+inline void endProcessesOnSignal()
+{
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGSEGV, SIGABRT})
+        std::signal(signal, [](int) {
+            for (const auto &process : startedProcesses)
+                if (const pid_t id = process.load(); id > 0)
+                    ::kill(id, SIGKILL);
+            ::_exit(2);
+        });
+}
+
+inline void replaceStarted(pid_t from, pid_t to)
+{
+    for (auto &process : startedProcesses) {
+        pid_t expected = from;
+        if (process.compare_exchange_strong(expected, to))
+            return;
+    }
+}
+
 /// Figures of the settings that a small deployment of our pages has.
 struct GatewayOptions
 {
@@ -438,6 +464,7 @@
             process = 0;
             throw std::runtime_error("cannot start " + m_options.program);
         }
+        replaceStarted(0, process);
     }
     /// Sends a signal, and waits for the end of the process after SIGKILL.
     void kill(int signal)
@@ -448,6 +475,7 @@
         if (signal != SIGKILL)
             return;
         ::waitpid(process, nullptr, 0);
+        replaceStarted(process, 0);
         process = 0;
     }
     bool isRunning() const { return process > 0 && ::waitpid(process, nullptr, WNOHANG) == 0; }
