--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -203,12 +203,13 @@
     }
 
     Searcher &addSearcher(const std::string &zone, int slots, Duration work,
-                          const std::string &service = "desk")
+                          const std::string &service = "desk", const std::string &version = "v1")
     {
         const int number = ++m_lastSearcher;
         SearcherOptions options;
         options.id = format("i-%04x", 0x7f00 + number);
         options.service = service;
+        options.version = version;
         options.zone = zone;
         options.address = addresses.of(100 + number, 8080);
         options.slots = slots;
@@ -546,6 +547,29 @@
     return isBroken ? Broken : Held;
 }
 
+/// Largest number of requests within one second at a cold searcher, of those that were also sent in
+/// that second.
+std::size_t mostInOneSecond(const std::vector<Arrival> &arrivals, const Callers &callers,
+                            const std::string &searcher, TimePoint from, TimePoint until)
+{
+    std::vector<std::pair<TimePoint, TimePoint>> times;
+    for (const Arrival &arrival : arrivals)
+        if (arrival.searcher == searcher && arrival.end != "other instance" && arrival.at >= from &&
+            arrival.at < until)
+            if (const Outcome *outcome = callers.find(arrival.requestId))
+                times.emplace_back(arrival.at, outcome->sentAt);
+    std::ranges::sort(times);
+    std::size_t most = 0;
+    for (const auto &[start, ignored] : times) {
+        const auto isInside = [&](const auto &time) {
+            return time.first >= start && time.second >= start &&
+                   time.first < start + Milliseconds(1000);
+        };
+        most = std::max(most, static_cast<std::size_t>(std::ranges::count_if(times, isInside)));
+    }
+    return most;
+}
+
 /// Requests reach the searchers of a zone whose evacuation has ended before the gateways have read
 /// that these searchers are cold.
 ExitCode coldZone(Record &record)
@@ -553,77 +577,141 @@
     constexpr double WarmUpPerSecond = 5;
     constexpr double Overrun = 1.5;
     constexpr double Slack = 5;
+    /// Requests within one second at which a cold searcher crashes: three times what it tolerates.
+    constexpr std::size_t CrashCount = 15;
     constexpr double PerSecond = 150;
     constexpr int Evacuations = 4;
     constexpr Milliseconds EvacuationTime{5000};
     constexpr Milliseconds ColdTime{3000};
+    constexpr Milliseconds EntryTime{3600};
     RouteOptions options;
+    options.type = "non_idempotent";
     options.timeoutMs = 1500;
     options.objectiveMs = 150;
     options.warmUpPerSecond = WarmUpPerSecond;
+    const std::vector<std::string> zones{"cairo-one", "giza-two"};
 
     Deployment deployment(record);
-    deployment.addSearcher("cairo-one", 3, Milliseconds(10));
-    deployment.addSearcher("giza-two", 3, Milliseconds(10));
+    std::vector<Searcher *> current;
+    for (const std::string &zone : zones)
+        current.push_back(&deployment.addSearcher(zone, 3, Milliseconds(15)));
     deployment.startGateways(options);
-    Callers callers(deployment.gateways, "GET", "/loans/", Milliseconds(1500));
+    Callers callers(deployment.gateways, "POST", "/loans/", Milliseconds(1500), "reserve");
     callers.start(PerSecond);
     sleepUntil(Clock::now() + StableWindow + Milliseconds(1000));
 
-    struct ColdSpell
-    {
-        std::string searcher;
-        TimePoint from{};
-        TimePoint restoredAt{};
+    const auto crashIfOverrun = [&](Searcher &searcher, TimePoint since) {
+        while (Clock::now() < since + ColdTime) {
+            const TimePoint from = std::max(since, Clock::now() - Milliseconds(1000));
+            const std::vector<Arrival> arrivals = deployment.arrivals.all();
+            const auto recent = std::ranges::count_if(arrivals, [&](const Arrival &arrival) {
+                return arrival.searcher == searcher.id() && arrival.at >= from;
+            });
+            if (static_cast<std::size_t>(recent) > CrashCount) {
+                searcher.crash();
+                return true;
+            }
+            sleepUntil(Clock::now() + Milliseconds(10));
+        }
+        return false;
     };
-    std::vector<ColdSpell> spells;
-    const std::vector<std::string> zones{"cairo-one", "giza-two"};
+    std::map<std::string, TimePoint> coldSince;
     for (int i = 0; i < Evacuations; ++i) {
         const std::size_t index = static_cast<std::size_t>(i) % zones.size();
-        Searcher &searcher = *deployment.searchers[index];
+        Searcher &searcher = *current[index];
         deployment.store.put("evacuations", zones[index], "{}");
         record.line("zone " + zones[index] + " is evacuated");
         sleepUntil(Clock::now() + EvacuationTime);
-        ColdSpell spell{searcher.id(), Clock::now(), {}};
+        const TimePoint since = hasTrouble() ? searcher.becomeCold(ColdTime) : Clock::now();
         if (hasTrouble())
-            searcher.becomeCold(ColdTime);
+            coldSince[searcher.id()] = since;
         sleepUntil(Clock::now() + Milliseconds(100));
-        spell.restoredAt = deployment.store.remove("evacuations", zones[index]);
-        record.line("zone " + zones[index] + " is back; its searcher is " +
+        deployment.store.remove("evacuations", zones[index]);
+        record.line("zone " + zones[index] + " is back; its searcher " + searcher.id() + " is " +
                     (hasTrouble() ? "cold" : "warm"));
-        spells.push_back(spell);
-        sleepUntil(Clock::now() + ColdTime + Milliseconds(1500));
+        const bool hasCrashed = hasTrouble() && crashIfOverrun(searcher, since);
+        sleepUntil(since + ColdTime + EntryTime);
+        if (hasCrashed) {
+            deployment.store.remove("servers", searcher.id());
+            current[index] = &deployment.addSearcher(zones[index], 3, Milliseconds(15));
+            sleepUntil(Clock::now() + Milliseconds(2000));
+        }
     }
     callers.stop();
 
     const double bound = WarmUpPerSecond * Overrun + Slack;
     bool isBroken = false;
     const std::vector<Arrival> arrivals = deployment.arrivals.all();
-    for (const ColdSpell &spell : spells) {
-        std::vector<TimePoint> times;
-        for (const Arrival &arrival : arrivals)
-            if (arrival.searcher == spell.searcher && arrival.end != "other instance" &&
-                arrival.at >= spell.from && arrival.at < spell.from + ColdTime)
-                times.push_back(arrival.at);
-        std::ranges::sort(times);
-        std::ptrdiff_t most = 0;
-        for (auto from = times.begin(); from != times.end(); ++from) {
-            const auto to = std::lower_bound(from, times.end(), *from + Milliseconds(1000));
-            most = std::max(most, to - from);
-        }
-        const double first =
-                times.empty() ? 0
-                              : record.seconds(times.front()) - record.seconds(spell.restoredAt);
-        record.line(format("searcher %s, cold from %.3f s on: %zu requests in 3 s, the first %.0f "
-                           "ms after its zone was back; at most %td in one second (bound %.1f)",
-                           spell.searcher.c_str(), record.seconds(spell.from), times.size(),
-                           1000 * first, most, bound));
-        isBroken = isBroken || (hasTrouble() && static_cast<double>(most) > bound);
+    for (const auto &[searcher, since] : coldSince) {
+        const std::size_t most =
+                mostInOneSecond(arrivals, callers, searcher, since, since + ColdTime);
+        record.line(format("searcher %s, cold from %.3f s on: %zu requests in one second (bound "
+                           "%.1f)",
+                           searcher.c_str(), record.seconds(since), most, bound));
+        isBroken = isBroken || static_cast<double>(most) > bound;
+    }
+    for (const Arrival &arrival : arrivals) {
+        if (!arrival.hasRun || arrival.end != "cut by the end of the searcher")
+            continue;
+        const Outcome *outcome = callers.find(arrival.requestId);
+        record.line("request " + arrival.requestId + " was cut while it ran at " +
+                    arrival.searcher + "; its caller got " +
+                    (outcome ? outcome->text() : "nothing"));
     }
     record.line(format("callers sent %zu requests", callers.outcomes().size()));
     return isBroken ? Broken : Held;
 }
 
+/// A new version gets all requests of its service while the searchers of the old one are down.
+ExitCode newVersionAlone(Record &record)
+{
+    constexpr double PerSecond = 90;
+    constexpr Milliseconds Outage{4500};
+    constexpr Milliseconds Deadline{12000};
+    constexpr Milliseconds BadAfter{7500};
+    constexpr double Share = 0.1;
+    constexpr double Slack = 50;
+    RouteOptions options;
+    options.timeoutMs = 1500;
+    options.objectiveMs = 150;
+    Deployment deployment(record);
+    deployment.addSearcher("cairo-one", 3, Milliseconds(10));
+    deployment.addSearcher("giza-two", 3, Milliseconds(10));
+    deployment.startGateways(options);
+    Callers callers(deployment.gateways, "GET", "/loans/", Milliseconds(1500));
+    callers.start(PerSecond);
+    sleepUntil(Clock::now() + StableWindow + Milliseconds(1000));
+    Searcher &c = deployment.addSearcher("cairo-one", 3, Milliseconds(10), "desk", "v2");
+    Searcher &d = deployment.addSearcher("giza-two", 3, Milliseconds(10), "desk", "v2");
+    const TimePoint ordered = deployment.store.put(
+            "rollouts", "desk", R"({"service":"desk","target_version":"v2","duration_s":12})");
+    sleepUntil(ordered + Milliseconds(2000));
+    if (hasTrouble()) {
+        deployment.searchers[0]->crash();
+        deployment.searchers[1]->crash();
+        sleepUntil(ordered + Milliseconds(2000) + Outage);
+        deployment.addSearcher("cairo-one", 3, Milliseconds(10));
+        deployment.addSearcher("giza-two", 3, Milliseconds(10));
+    }
+    sleepUntil(ordered + BadAfter);
+    c.setBad();
+    d.setBad();
+    record.line("v2 turns bad");
+    sleepUntil(ordered + Deadline + Milliseconds(1000));
+    record.line("status: " + deployment.store.status("rollouts", "desk"));
+    callers.stop();
+    std::size_t all = 0, fresh = 0;
+    for (const Arrival &arrival : deployment.arrivals.all()) {
+        if (arrival.at < ordered || arrival.at > ordered + Deadline)
+            continue;
+        ++all;
+        fresh += arrival.searcher == c.id() || arrival.searcher == d.id();
+    }
+    record.line(format("requests to v2: %zu of %zu, bound %.0f", fresh, all,
+                       Share * static_cast<double>(all) + Slack));
+    return static_cast<double>(fresh) > Share * static_cast<double>(all) + Slack ? Broken : Held;
+}
+
 /// The body of a request whose last transfer coding is not `chunked` is run as a request.
 ExitCode requestInBody(Record &record)
 {
@@ -672,9 +760,13 @@
 };
 
 constexpr std::array Cases{
-        Case{"slow-senders", slowSenders},   Case{"waiting-request", waitingRequest},
-        Case{"watchers-lost", watchersLost}, Case{"head-answer", headAnswer},
-        Case{"cold-zone", coldZone},         Case{"request-in-body", requestInBody},
+        Case{"slow-senders", slowSenders},
+        Case{"waiting-request", waitingRequest},
+        Case{"watchers-lost", watchersLost},
+        Case{"head-answer", headAnswer},
+        Case{"cold-zone", coldZone},
+        Case{"new-version-alone", newVersionAlone},
+        Case{"request-in-body", requestInBody},
 };
 
 } // namespace
--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -783,7 +783,7 @@
                                std::to_string(number) + "\r\nServer-Load: 0,0," +
                                std::to_string(m_options.slots) + "\r\n";
     m_arrivals.setEnd(index, "answered");
-    const std::string answer = answerText(200, fields, body);
+    const std::string answer = answerText(m_isBad && number % 2 == 0 ? 500 : 200, fields, body);
     stream.write(request.method() == "HEAD" ? answer.substr(0, answer.size() - body.size())
                                             : answer);
 }
--- a/review/standins-2/standins.hh
+++ b/review/standins-2/standins.hh
@@ -243,6 +243,8 @@
 
     /// Multiplies the time of all work, also of work in progress that has not ended yet.
     void setSlowness(double factor) { m_slowness = factor; }
+    /// Makes it answer every other request with 500.
+    void setBad() { m_isBad = true; }
     /// Reports itself cold for this long from now on.
     TimePoint becomeCold(Duration time);
     /// Reports `draining`. @return time of the store's acknowledgement
@@ -280,6 +282,7 @@
     bool m_isRegistered = true;
     TimePoint m_coldUntil{};
     std::atomic<bool> m_isEnded{false};
+    std::atomic<bool> m_isBad{false};
     std::thread m_heartbeat;
     std::unique_ptr<Server> m_server;
 };
