review: a line for each request in the records, a line for each entry in the report

Case 7 takes the same steps without the disruption, and the store's stand-in removes the entries of crashed searchers. Checks and bounds are unchanged.

--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -24,7 +24,10 @@
 struct Outcome
 {
     std::string id;
+    std::string request;
+    Address front;
     TimePoint sentAt{};
+    TimePoint endedAt{};
     ReadResult result = ReadResult::Closed;
     Message answer;
 
@@ -55,11 +58,14 @@
 {
     Outcome outcome;
     outcome.id = newRequestId();
+    outcome.request = method + ' ' + target;
+    outcome.front = front;
     outcome.sentAt = Clock::now();
     const auto stream = connectTo(front, ConnectTimeout);
     if (stream && stream->write(requestText(method, target, outcome.id, deadline, body)))
         outcome.result = stream->readAnswer(outcome.answer, method == "HEAD",
                                             outcome.sentAt + deadline + Milliseconds(200));
+    outcome.endedAt = Clock::now();
     return outcome;
 }
 
@@ -225,6 +231,28 @@
     int m_lastSearcher = 0;
 };
 
+/// Writes all that callers sent and got and that reached searchers, in the order of time.
+void recordRequests(Deployment &deployment, const std::vector<Outcome> &outcomes)
+{
+    std::multimap<TimePoint, std::string> events;
+    for (const Outcome &outcome : outcomes) {
+        events.emplace(outcome.sentAt, "sent: " + outcome.request + " with id " + outcome.id +
+                                               " to " + outcome.front);
+        events.emplace(outcome.endedAt, "answered: " + outcome.id + " with " + outcome.text());
+    }
+    for (const Arrival &arrival : deployment.arrivals.all()) {
+        events.emplace(arrival.at, "arrived: " + arrival.requestId + " at searcher " +
+                                           arrival.searcher + ", " + arrival.method + ' ' +
+                                           arrival.target);
+        if (!arrival.end.empty())
+            events.emplace(arrival.endedAt,
+                           "ended: " + arrival.requestId + " at searcher " + arrival.searcher +
+                                   ", " + (arrival.hasRun ? "run, " : "not run, ") + arrival.end);
+    }
+    for (const auto &[time, text] : events)
+        deployment.record.event(time, text);
+}
+
 /// Requests that take longer to arrive than the route's timeout make a gateway refuse nearly all
 /// requests of that service, for as long as the gateway runs.
 ExitCode slowSenders(Record &record)
@@ -255,26 +283,34 @@
     std::vector<std::thread> slow;
     std::mutex mutex;
     std::map<std::string, int> slowAnswers;
+    std::vector<Outcome> slowOutcomes;
     const TimePoint slowUntil = Clock::now() + SlowTime;
     record.line("some callers of /orders/ send their requests slowly, if the disruption is played");
     for (std::size_t i = 0; Clock::now() < slowUntil; ++i) {
         const Address front =
                 deployment.gateways.machines()[i % deployment.gateways.machines().size()].front;
         slow.emplace_back([&, front] {
-            const std::string text = requestText("POST", "/orders/slow", newRequestId(),
-                                                 Milliseconds(3000), "order");
-            Message answer;
-            ReadResult result = ReadResult::Closed;
+            Outcome outcome;
+            outcome.id = newRequestId();
+            outcome.request = "POST /orders/slow";
+            outcome.front = front;
+            outcome.sentAt = Clock::now();
+            const std::string text =
+                    requestText("POST", "/orders/slow", outcome.id, Milliseconds(3000), "order");
             const auto stream = connectTo(front, ConnectTimeout);
             if (stream && stream->write(text.substr(0, text.size() - 2))) {
                 if (hasTrouble())
                     sleepUntil(Clock::now() + SendTime);
                 stream->write(text.substr(text.size() - 2));
-                result = stream->readAnswer(answer, false, Clock::now() + Milliseconds(3000));
+                outcome.result = stream->readAnswer(outcome.answer, false,
+                                                    Clock::now() + Milliseconds(3000));
             }
+            outcome.endedAt = Clock::now();
             const std::lock_guard lock(mutex);
-            ++slowAnswers[result == ReadResult::Message ? std::to_string(answer.status())
-                                                        : toString(result)];
+            ++slowAnswers[outcome.result == ReadResult::Message
+                                  ? std::to_string(outcome.answer.status())
+                                  : toString(outcome.result)];
+            slowOutcomes.push_back(std::move(outcome));
         });
         sleepUntil(Clock::now() + std::chrono::duration_cast<Duration>(
                                           std::chrono::duration<double>(1 / SlowPerSecond)));
@@ -312,6 +348,9 @@
     for (const Arrival &arrival : deployment.arrivals.all())
         open += arrival.end.empty();
     record.line(format("requests that are still open at a searcher: %zu", open));
+    slowOutcomes.insert(slowOutcomes.end(), loans.outcomes().begin(), loans.outcomes().end());
+    slowOutcomes.insert(slowOutcomes.end(), orders.outcomes().begin(), orders.outcomes().end());
+    recordRequests(deployment, slowOutcomes);
     return added >= FewestJudged && addedShare < LeastShare * firstShare ? Broken : Held;
 }
 
@@ -328,44 +367,47 @@
     if (!stream)
         throw CannotRun{"no connection to a gateway"};
 
+    std::vector<Outcome> outcomes;
     const auto exchange = [&](const std::string &method, const std::string &target) {
         Outcome outcome;
         outcome.id = newRequestId();
+        outcome.request = method + ' ' + target;
+        outcome.front = deployment.gateways.machines().front().front;
         outcome.sentAt = Clock::now();
         stream->write(requestText(method, target, outcome.id, Milliseconds(1500)));
         outcome.result = stream->readAnswer(outcome.answer, method == "HEAD",
                                             Clock::now() + Milliseconds(2000));
+        outcome.endedAt = Clock::now();
         record.line(method + ' ' + target + " on the kept connection: " +
                     (outcome.result == ReadResult::Message ? outcome.answer.startLine + ", "
                                                            : std::string()) +
                     outcome.text());
+        outcomes.push_back(outcome);
         return outcome;
     };
     exchange("GET", "/loans/1");
-    if (hasTrouble()) {
+    if (hasTrouble())
         for (const auto &searcher : deployment.searchers)
             searcher->crash();
-        sleepUntil(Clock::now() + Milliseconds(200));
-    }
+    const TimePoint crashedAt = Clock::now();
+    sleepUntil(crashedAt + Milliseconds(200));
     const Outcome head = exchange("HEAD", "/loans/2");
     const std::string stray = stream->rawBytes(Clock::now() + Milliseconds(300));
     record.line(format("bytes after the end of the answer to HEAD, with no request waiting: %zu",
                        stray.size()) +
                 (stray.empty() ? "" : " \"" + stray + '"'));
-    bool isBroken = head.result == ReadResult::Message && !stray.empty();
+    // A caller that doesn't look at its connection in between sends its next request there.
+    exchange("HEAD", "/loans/3");
+    sleepUntil(crashedAt + Outage);
     if (hasTrouble()) {
-        // A caller that doesn't look at its connection in between sends the next request at once.
-        stream->write(requestText("HEAD", "/loans/3", newRequestId(), Milliseconds(1500)));
-        Message answer;
-        stream->readAnswer(answer, true, Clock::now() + Milliseconds(2000));
-        record.line("HEAD /loans/3 on the kept connection: " + answer.startLine);
-        sleepUntil(Clock::now() + Outage);
         deployment.addSearcher("cairo-one", 2, Milliseconds(20));
         deployment.addSearcher("giza-two", 2, Milliseconds(20));
-        sleepUntil(Clock::now() + Milliseconds(2000));
     }
+    sleepUntil(Clock::now() + Milliseconds(2000));
     const Outcome next = exchange("GET", "/loans/4");
-    isBroken = isBroken || next.result == ReadResult::NotHttp;
+    recordRequests(deployment, outcomes);
+    const bool isBroken = (head.result == ReadResult::Message && !stray.empty()) ||
+                          next.result == ReadResult::NotHttp;
     return isBroken ? Broken : Held;
 }
 
@@ -454,7 +496,6 @@
         const bool hasCrashed = hasTrouble() && crashIfOverrun(searcher, since);
         sleepUntil(since + ColdTime + EntryTime);
         if (hasCrashed) {
-            deployment.store.remove("servers", searcher.id());
             current[index] = &deployment.addSearcher(zones[index], 3, Milliseconds(15));
             sleepUntil(Clock::now() + Milliseconds(2000));
         }
@@ -481,6 +522,7 @@
                     (outcome ? outcome->text() : "nothing"));
     }
     record.line(format("callers sent %zu requests", callers.outcomes().size()));
+    recordRequests(deployment, callers.outcomes());
     return isBroken ? Broken : Held;
 }
 
@@ -544,6 +586,7 @@
     const double bound = ExposureShare * all + ExposureSlack;
     record.line(format("requests to v2 from the order to its deadline: %.0f of %.0f (bound %.0f)",
                        exposed, all, bound));
+    recordRequests(deployment, callers.outcomes());
     return exposed > bound ? Broken : Held;
 }
 
--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -31,6 +31,8 @@
 /// Number of the first machine in a group of addresses.
 constexpr int FirstMachineHost = 10;
 constexpr Milliseconds HeartbeatInterval{1200};
+/// Number of missing heartbeats after which the entry of a searcher is removed.
+constexpr int SilentHeartbeats = 3;
 /// Interval at which a wait checks whether its connection has closed.
 constexpr Milliseconds PollInterval{5};
 constexpr Milliseconds ServerReadTimeout{60000};
@@ -154,6 +156,12 @@
     m_file << format("%9.3f s  ", seconds(Clock::now())) << text << std::endl;
 }
 
+void Record::event(TimePoint time, const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    m_file << format("%9.3f s  ", seconds(time)) << text << '\n';
+}
+
 double Record::seconds(TimePoint time) const
 {
     return std::chrono::duration<double>(time - m_start).count();
@@ -597,6 +605,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_arrivals[index].end = end;
+    m_arrivals[index].endedAt = Clock::now();
 }
 
 std::vector<Arrival> Arrivals::all()
@@ -621,6 +630,7 @@
 
 Searcher::~Searcher()
 {
+    m_isDestroyed = true;
     m_isEnded = true;
     m_server->stop();
     m_heartbeat.join();
@@ -651,6 +661,11 @@
         while (!m_isEnded && Clock::now() < next)
             std::this_thread::sleep_for(PollInterval);
     }
+    const TimePoint expiry = Clock::now() + SilentHeartbeats * HeartbeatInterval;
+    while (!m_isDestroyed && Clock::now() < expiry)
+        std::this_thread::sleep_for(PollInterval);
+    if (!m_isDestroyed)
+        m_store.remove("servers", m_options.id);
 }
 
 TimePoint Searcher::becomeCold(Duration time)
--- a/review/standins-2/standins.hh
+++ b/review/standins-2/standins.hh
@@ -41,6 +41,8 @@
 public:
     explicit Record(const std::string &path);
     void line(const std::string &text);
+    /// Writes a line with the time of an event that lies in the past.
+    void event(TimePoint time, const std::string &text);
     /// Seconds from the start of the case to @p time.
     double seconds(TimePoint time) const;
 
@@ -203,6 +205,7 @@
     /// How the searcher ended it: "answered", "not executed", "other instance", "dropped" or
     /// "cut by the end of the searcher"; empty while it is open.
     std::string end;
+    TimePoint endedAt{};
 };
 
 /// Everything that reached any searcher. Thread-safe.
@@ -272,6 +275,7 @@
     bool m_isRegistered = true;
     TimePoint m_coldUntil{};
     std::atomic<bool> m_isEnded{false};
+    std::atomic<bool> m_isDestroyed{false};
     std::atomic<bool> m_isBad{false};
     std::thread m_heartbeat;
     std::unique_ptr<Server> m_server;
