Count a request in flight only while its attempt exists

Cause: UpstreamConnections::write() ended an exchange whose deadline had passed at once. With an open idle connection the listener was called before send() had returned the id. ServiceCall ignored the failure of an unknown exchange and then counted the request as in flight; nothing took that count down again, and load shedding took the searcher for a busy, silent one.

Change: the gateway refuses a request that is complete only after its deadline and sends no attempt after it. UpstreamConnections reports an exchange that cannot be written from a timer, whatever the reason, and as not sent, since no byte was written. InFlightRequest owns the count of an attempt and takes it down when it is destroyed at the latest, so that no path can forget it.

The same cause on related paths: the senders of sub-requests and the HTTP client post their ends already; they were read, and not changed.

--- a/include/geraniumcart/service_call.h
+++ b/include/geraniumcart/service_call.h
@@ -2,6 +2,7 @@
 
 #include <geraniumcart/exchange.h>
 #include <geraniumcart/hedging.h>
+#include <geraniumcart/in_flight_request.h>
 #include <geraniumcart/request_trace.h>
 #include <geraniumcart/route_table.h>
 #include <geraniumcart/serving_view.h>
@@ -115,13 +116,13 @@
 private:
     struct Attempt
     {
-        std::shared_ptr<Upstream> upstream;
+        InFlightRequest request;
         TimePoint sentAt{};
         bool isHedge = false;
     };
     enum class Cause : std::uint8_t { First, Hedge, Retry };
     /// Result of dispatch().
-    enum class Dispatch : std::uint8_t { Sent, NoUpstream, NoRoom, NoBudget, NoAttempts };
+    enum class Dispatch : std::uint8_t { Sent, NoUpstream, NoRoom, NoBudget, NoAttempts, TooLate };
 
     /// Tries to send one attempt.
     Dispatch dispatch(Cause cause);
--- a/src/connection/upstream_connections.cpp
+++ b/src/connection/upstream_connections.cpp
@@ -97,7 +97,7 @@
     chosen->lastRequestId = request->id;
     chosen->exchange = std::make_unique<Exchange>();
     Exchange &exchange = *chosen->exchange;
-    exchange = {id, std::move(request), deadline, std::move(listener), 0};
+    exchange = {id, std::move(request), deadline, std::move(listener)};
     exchange.timer = m_timers.schedule(deadline - m_timers.now() + DeadlineSlack,
                                        [this, id] { onExchangeTimeout(id); });
     m_byExchange[id] = chosen;
@@ -176,22 +176,27 @@
 void UpstreamConnections::write(LinkEntry &entry)
 {
     disarm(entry.timer);
-    const Exchange &exchange = *entry.exchange;
+    Exchange &exchange = *entry.exchange;
     const Duration remaining = exchange.deadline - m_timers.now();
-    if (remaining <= Duration::zero()) {
-        // No byte was written, so the connection can be reused.
-        std::unique_ptr<Exchange> ended = std::move(entry.exchange);
-        setIdle(entry);
-        fail(std::move(ended), ExchangeFailure::NotSent);
+    const bool isInTime = remaining > Duration::zero();
+    exchange.isWritten = isInTime && entry.link->start(*exchange.request,
+                                                       entry.upstream->instanceId(), remaining);
+    if (exchange.isWritten)
         return;
-    }
-    if (entry.link->start(*exchange.request, entry.upstream->instanceId(), remaining))
-        return;
-    // The searcher had closed the idle connection. The listener must not be called before send()
-    // returns, so a timer reports the failure.
-    m_timers.schedule(Duration::zero(), [this, link = entry.link] {
-        if (LinkEntry *closed = entryOf(*link))
-            drop(*closed, ExchangeFailure::NotSent, CloseCause::ClosedIdle);
+    // The listener must not be called before send() returns, so a timer reports the failure.
+    m_timers.schedule(Duration::zero(), [this, id = exchange.id, isInTime] {
+        const auto found = m_byExchange.find(id);
+        if (found == m_byExchange.end())
+            return;
+        LinkEntry &unused = *found->second;
+        if (isInTime) {
+            // The searcher had closed the idle connection.
+            drop(unused, ExchangeFailure::NotSent, CloseCause::ClosedIdle);
+            return;
+        }
+        std::unique_ptr<Exchange> ended = std::move(unused.exchange);
+        setIdle(unused);
+        fail(std::move(ended), ExchangeFailure::NotSent);
     });
 }
 
@@ -232,7 +237,8 @@
 {
     m_byExchange.erase(exchange->id);
     disarm(exchange->timer);
-    exchange->listener->onFailure(exchange->id, failure);
+    exchange->listener->onFailure(exchange->id,
+                                  exchange->isWritten ? failure : ExchangeFailure::NotSent);
 }
 
 void UpstreamConnections::setIdle(LinkEntry &entry)
@@ -290,10 +296,11 @@
     LinkEntry *entry = entryOf(link);
     if (!entry)
         return;
-    if (!entry->isOpen)
-        drop(*entry, ExchangeFailure::NotSent, CloseCause::NotOpened);
-    else
-        drop(*entry, failure, entry->exchange ? CloseCause::Failed : CloseCause::ClosedIdle);
+    const bool isBusy = entry->exchange && entry->exchange->isWritten;
+    drop(*entry, failure,
+         !entry->isOpen ? CloseCause::NotOpened
+         : isBusy       ? CloseCause::Failed
+                        : CloseCause::ClosedIdle);
 }
 
 void UpstreamConnections::onExchangeTimeout(ExchangeId id)
@@ -304,10 +311,8 @@
     ++m_counts.timedOut;
     LinkEntry &entry = *found->second;
     entry.exchange->timer = 0;
-    if (entry.isOpen)
-        drop(entry, ExchangeFailure::TimedOut, CloseCause::Failed);
-    else
-        drop(entry, ExchangeFailure::NotSent, CloseCause::NotOpened);
+    drop(entry, ExchangeFailure::TimedOut,
+         entry.isOpen ? CloseCause::Failed : CloseCause::NotOpened);
 }
 
 LinkStates UpstreamConnections::states() const
--- a/src/connection/upstream_connections_p.h
+++ b/src/connection/upstream_connections_p.h
@@ -104,6 +104,8 @@
         TimePoint deadline{};
         std::shared_ptr<ExchangeListener> listener;
         TimerId timer = 0;
+        /// False until the first byte was written.
+        bool isWritten = false;
     };
     /// One connection and its state.
     struct LinkEntry
@@ -127,11 +129,12 @@
     /// @return an idle connection for a request with this id; null if there is none
     LinkEntry *idleLink(const Upstream &upstream, const std::string &requestId);
     LinkEntry &openLink(const std::shared_ptr<Upstream> &upstream, OpenCause cause);
-    /// Writes the entry's request to its open connection.
+    /// Writes the entry's request to its open connection. If that is not possible, the exchange ends
+    /// after this returns.
     void write(LinkEntry &entry);
     /// Returns the entry of @p link, or null if it has been removed.
     LinkEntry *entryOf(const UpstreamLink &link);
-    /// Closes and removes the connection. If it has an exchange, the exchange ends with @p failure.
+    /// Closes and removes the connection. If it has an exchange, the exchange ends with fail().
     void drop(LinkEntry &entry, ExchangeFailure failure, CloseCause cause);
     /// Removes the entry from all maps, without closing its connection or ending its exchange.
     std::unique_ptr<LinkEntry> removeEntry(const LinkEntry &entry, CloseCause cause);
@@ -140,6 +143,7 @@
     void onExchangeTimeout(ExchangeId id);
     void disarm(TimerId &timer);
     /// Ends an exchange that was removed from its entry and notifies its listener.
+    /// @param failure of an exchange of which a byte was written; any other one was not sent
     void fail(std::unique_ptr<Exchange> exchange, ExchangeFailure failure);
 
     boost::asio::io_context &m_context;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -13,6 +13,9 @@
 
 /// Retry time given to a caller if the daemon has no configuration, or no searcher of the service.
 constexpr std::chrono::milliseconds NotReadyRetryAfter{250};
+/// Retry time given to a caller whose request arrived completely only after its deadline. It does
+/// not depend on the load.
+constexpr std::chrono::milliseconds LateRetryAfter{100};
 /// A caller that was refused because of load retries after 0.5 to 1.5 times the predicted wait.
 constexpr double MinRetryFactor = 0.5;
 /// Callers that were refused until the same moment return spread over this share of their wait.
@@ -30,9 +33,12 @@
     return view.endsAt && now + objectives * route.latencyObjective > *view.endsAt;
 }
 
-} // namespace
-
-namespace {
+/// @return when the timeout of the route or of the caller ends, whichever is first
+TimePoint deadlineOf(const RoutedRequest &request, const Route &route)
+{
+    return request.arrival +
+           std::min<Duration>(route.timeout, request.callerTimeout.value_or(route.timeout));
+}
 
 Counter counterOf(const RoutedAnswer &answer)
 {
@@ -93,10 +99,12 @@
     const std::string service = call.route->isScattered() ? std::string() : pickTarget(*call.route);
     if (!call.route->isScattered() && !call.view->find(service))
         return refuse(call, RoutedStatus::Refused, NotReadyRetryAfter);
-    if (endsTooSoon(*call.route, *call.view, m_calls.timers.now()))
+    const TimePoint now = m_calls.timers.now();
+    if (endsTooSoon(*call.route, *call.view, now))
         return refuse(call, RoutedStatus::Refused, NotReadyRetryAfter);
-    const Duration predicted =
-            predictedWait(*call.route, service, *call.view, m_calls.timers.now());
+    if (now >= deadlineOf(call.request, *call.route))
+        return refuse(call, RoutedStatus::Refused, LateRetryAfter);
+    const Duration predicted = predictedWait(*call.route, service, *call.view, now);
     std::uniform_real_distribution<double> chance(0, 1);
     if (chance(m_random) >= admittedShare(predicted, *call.route)) {
         m_stats.add(Counter::Overloaded);
@@ -113,15 +121,13 @@
     const Route &route = *call.route;
     const std::uint64_t id = ++m_lastId;
     call.trace = std::make_shared<RequestTrace>(call.request.arrival);
-    const Duration effectiveTimeout =
-            std::min<Duration>(route.timeout, call.request.callerTimeout.value_or(route.timeout));
     RoutedRunSpec spec{m_calls,
                        call.view,
                        &route,
                        service,
                        call.request.forward,
                        call.request.arrival,
-                       call.request.arrival + effectiveTimeout,
+                       deadlineOf(call.request, route),
                        m_answerMargin.latestEnd(call.request.arrival, route.latencyObjective,
                                                 call.request.isFirstOnConnection),
                        call.trace};
--- a/src/request/service_call.cpp
+++ b/src/request/service_call.cpp
@@ -118,12 +118,12 @@
 
 void ServiceCall::cancelExchanges()
 {
-    for (const auto &[id, attempt] : std::exchange(m_attempts, {})) {
+    for (auto &[id, attempt] : std::exchange(m_attempts, {})) {
         m_context.transport.cancel(id);
-        attempt.upstream->recordEnd();
+        const Upstream &upstream = *attempt.request.upstream();
         const TimePoint now = m_context.timers.now();
-        if (AnswerCounters *counters = countersOf(*attempt.upstream))
-            counters->addCancelled(now - attempt.sentAt, attempt.upstream->isCold(now));
+        if (AnswerCounters *counters = countersOf(upstream))
+            counters->addCancelled(now - attempt.sentAt, upstream.isCold(now));
     }
 }
 
@@ -134,6 +134,9 @@
     const Dispatch outcome = dispatch(cause);
     if (outcome == Dispatch::Sent || !m_attempts.empty())
         return;
+    // The deadline timer is due.
+    if (outcome == Dispatch::TooLate)
+        return;
     if (outcome == Dispatch::NoRoom) {
         m_proceedTimer =
                 m_context.timers.schedule(CapacityPollInterval, [weak = weak_from_this(), cause] {
@@ -169,6 +172,8 @@
         return Dispatch::NoAttempts;
     const auto &upstreams = m_spec.service->upstreams;
     const TimePoint now = m_context.timers.now();
+    if (now >= m_spec.deadline)
+        return Dispatch::TooLate;
     const bool hasUntried = std::ranges::any_of(upstreams, [&](const auto &u) {
         return availability(*u, now) != Availability::None && isUntried(*u);
     });
@@ -201,9 +206,9 @@
     if (!upstream->tryTakeRate(now))
         return Dispatch::NoRoom;
 
+    InFlightRequest request(upstream, now);
     const ExchangeId id =
             m_context.transport.send(upstream, m_spec.request, m_spec.deadline, shared_from_this());
-    upstream->recordDispatch(now);
     if (cause != Cause::First || m_spec.tracesFirstSend)
         recordStep(cause == Cause::First   ? TraceStep::Sent
                    : cause == Cause::Hedge ? TraceStep::Hedged
@@ -211,7 +216,7 @@
                    upstream.get());
     if (m_sends == 0 && m_spec.trace)
         m_spec.trace->recordQueueTime(now - m_startedAt);
-    m_attempts[id] = {upstream, now, cause == Cause::Hedge};
+    m_attempts[id] = {std::move(request), now, cause == Cause::Hedge};
     m_tried.push_back(upstream.get());
     ++m_sends;
     ++m_possibleRuns;
@@ -256,7 +261,7 @@
 
 void ServiceCall::applyAnnouncements(const Attempt &attempt, const UpstreamReply &reply)
 {
-    Upstream &upstream = *attempt.upstream;
+    Upstream &upstream = *attempt.request.upstream();
     // Another instance at the address speaks of itself.
     if (reply.isOtherInstance)
         return;
@@ -279,7 +284,7 @@
 
 void ServiceCall::applyRateLimit(const Attempt &attempt, const UpstreamReply &reply)
 {
-    Upstream &upstream = *attempt.upstream;
+    Upstream &upstream = *attempt.request.upstream();
     bool hasChanged = false;
     if (reply.rateLimit) {
         const ServingView &view = *m_spec.view;
@@ -347,31 +352,31 @@
 
 void ServiceCall::onReply(ExchangeId id, UpstreamReply reply)
 {
-    const Attempt attempt = removeAttempt(id);
-    if (!attempt.upstream)
+    Attempt attempt = removeAttempt(id);
+    Upstream *upstream = attempt.request.upstream().get();
+    if (!upstream)
         return;
     const TimePoint now = m_context.timers.now();
     applyAnnouncements(attempt, reply);
     if (reply.isNotRun) {
-        recordStep(reply.isOtherInstance ? TraceStep::OtherInstance : TraceStep::Refused,
-                   attempt.upstream.get());
-        attempt.upstream->recordRefusal(now);
+        recordStep(reply.isOtherInstance ? TraceStep::OtherInstance : TraceStep::Refused, upstream);
+        attempt.request.recordRefusal(now);
         if (reply.isOtherInstance)
-            attempt.upstream->markReplaced();
+            upstream->markReplaced();
         m_wasRefused = true;
         --m_possibleRuns;
         // The searcher stays a candidate, since it may have capacity a moment later.
-        std::erase(m_tried, attempt.upstream.get());
+        std::erase(m_tried, upstream);
         if (isOpen())
             continueAfterFailure();
         return;
     }
     if (reply.isSuccess()) {
-        attempt.upstream->recordAnswer(now, now - attempt.sentAt);
+        attempt.request.recordAnswer(now, now - attempt.sentAt);
         if (m_spec.hedging)
             m_spec.hedging->observe(now - attempt.sentAt);
-        if (AnswerCounters *counters = countersOf(*attempt.upstream))
-            counters->addGood(now - attempt.sentAt, attempt.upstream->isCold(now));
+        if (AnswerCounters *counters = countersOf(*upstream))
+            counters->addGood(now - attempt.sentAt, upstream->isCold(now));
         if (isOpen()) {
             finish({std::move(reply), CallFailure::Unknown, false});
             if (lowestLatency(m_spec.service->upstreams) > CancelLoserThreshold)
@@ -379,9 +384,9 @@
         }
         return;
     }
-    recordStep(TraceStep::FailureReply, attempt.upstream.get());
-    attempt.upstream->recordFailedRequest(now);
-    if (AnswerCounters *counters = countersOf(*attempt.upstream))
+    recordStep(TraceStep::FailureReply, upstream);
+    attempt.request.recordFailedRequest(now);
+    if (AnswerCounters *counters = countersOf(*upstream))
         counters->addBad();
     if (!isOpen())
         return;
@@ -392,16 +397,17 @@
 
 void ServiceCall::onFailure(ExchangeId id, ExchangeFailure failure)
 {
-    const Attempt attempt = removeAttempt(id);
-    if (!attempt.upstream)
+    Attempt attempt = removeAttempt(id);
+    Upstream *upstream = attempt.request.upstream().get();
+    if (!upstream)
         return;
-    recordStep(stepOf(failure), attempt.upstream.get());
-    attempt.upstream->recordFailedRequest(m_context.timers.now());
+    recordStep(stepOf(failure), upstream);
+    attempt.request.recordFailedRequest(m_context.timers.now());
     if (failure == ExchangeFailure::NotSent) {
         --m_possibleRuns;
         --m_possibleArrivals;
-        std::erase(m_tried, attempt.upstream.get());
-    } else if (AnswerCounters *counters = countersOf(*attempt.upstream)) {
+        std::erase(m_tried, upstream);
+    } else if (AnswerCounters *counters = countersOf(*upstream)) {
         counters->addLost();
     }
     if (isOpen())
@@ -438,7 +444,7 @@
     if (!isOpen())
         return;
     for (const auto &[id, attempt] : m_attempts)
-        recordStep(TraceStep::TimedOut, attempt.upstream.get());
+        recordStep(TraceStep::TimedOut, attempt.request.upstream().get());
     if (m_failureReply)
         finish({std::move(m_failureReply), CallFailure::Unknown, false});
     else if (mayHaveRun())
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -248,6 +248,114 @@
         CHECK(fixture.answers[0].retryAfter > Duration::zero());
 }
 
+// Guards against requests that are sent to a searcher although their deadline has passed, which
+// happens when a caller sends slowly.
+TEST_CASE("a request that arrives completely after its deadline is refused immediately")
+{
+    const auto [failure, target, waits, age,
+                isSent] = GENERATE(table<const char *, const char *, std::optional<Duration>,
+                                         Duration, bool>({
+            {"a request without any time is sent", "/plain/1", 0ms, 0ms, false},
+            {"the timeout of the route is exceeded", "/plain/1", std::nullopt, 1000ms, false},
+            {"the timeout of the caller is exceeded", "/plain/1", 300ms, 400ms, false},
+            {"a request over shards is sent to them", "/scatter/1", std::nullopt, 1200ms, false},
+            {"a request with some time left is refused", "/plain/1", std::nullopt, 900ms, true},
+    }));
+    INFO(failure);
+    GatewayFixture fixture({plainRoute(), scatterRoute(2, 0.5)});
+    fixture.add(searcher("desk", "a"));
+    fixture.add(searcher("shard0", "s0"));
+    fixture.add(searcher("shard1", "s1"));
+    fixture.request(target, waits, false, age);
+    CHECK(fixture.transport.sent.size() == (isSent ? 1 : 0));
+    REQUIRE(fixture.answers.size() == (isSent ? 0 : 1));
+    if (isSent)
+        return;
+    CHECK(fixture.answers[0].status == RoutedStatus::Refused);
+    CHECK(fixture.answers[0].retryAfter > Duration::zero());
+}
+
+// Guards against a count of requests in flight that stays too high, which makes an idle searcher
+// look busy and silent, so that its service is refused requests for good.
+TEST_CASE("no request stays in flight after its end")
+{
+    using Step = std::function<void(GatewayFixture &)>;
+    const auto [failure, kind, step] = GENERATE(table<const char *, RouteKind, Step>({
+            {"an answer is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) { f.transport.reply(0, goodReply()); }},
+            {"a searcher's error is not counted", RouteKind::AtMostOnce,
+             [](GatewayFixture &f) { f.transport.reply(0, errorReply()); }},
+            {"a refusal is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.transport.reply(0, notRunReply());
+                 f.advance(50ms);
+                 f.transport.reply(1, goodReply());
+             }},
+            {"another instance's refusal is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.transport.reply(0, otherInstanceReply());
+                 f.advance(50ms);
+                 f.transport.reply(1, goodReply());
+             }},
+            {"a failure inside send() is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.transport.failsInsideSend = true;
+                 f.transport.fail(0, ExchangeFailure::NotSent);
+                 f.advance(1000ms);
+             }},
+            {"a failure before a byte was written is not counted", RouteKind::AtMostOnce,
+             [](GatewayFixture &f) {
+                 f.transport.full = {"a", "b"};
+                 f.transport.fail(0, ExchangeFailure::NotSent);
+                 f.advance(1000ms);
+             }},
+            {"a lost answer is not counted", RouteKind::AtMostOnce,
+             [](GatewayFixture &f) { f.transport.fail(0, ExchangeFailure::Lost); }},
+            {"an answer after the deadline is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.advance(1000ms);
+                 for (std::size_t i = 0; i < f.transport.sent.size(); ++i)
+                     f.transport.reply(i, goodReply());
+             }},
+            {"an exchange that expires after the deadline is not counted", RouteKind::AtMostOnce,
+             [](GatewayFixture &f) {
+                 f.advance(1060ms);
+                 f.transport.fail(0, ExchangeFailure::TimedOut);
+             }},
+            {"the loser of a hedge is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.advance(100ms);
+                 REQUIRE(f.transport.sent.size() == 2);
+                 f.transport.reply(1, goodReply());
+                 f.transport.fail(0, ExchangeFailure::Lost);
+             }},
+            {"a cancelled attempt is not counted", RouteKind::Idempotent,
+             [](GatewayFixture &f) {
+                 f.gateway.abandon(1);
+                 f.advance(300ms);
+                 CHECK(f.transport.cancelled > 0);
+             }},
+            {"the end of a planned stop is not counted", RouteKind::AtMostOnce,
+             [](GatewayFixture &f) {
+                 f.gateway.endOpenRequests();
+                 f.transport.fail(0, ExchangeFailure::Lost);
+             }},
+    }));
+    INFO(failure);
+    GatewayFixture fixture({plainRoute(kind)});
+    fixture.add(searcher("desk", "a"));
+    fixture.add(searcher("desk", "b"));
+    fixture.request("/plain/1");
+    REQUIRE(fixture.transport.sent.size() == 1);
+    step(fixture);
+    // Exchanges hold their call; it ends when none refers to it.
+    for (FakeTransport::Sent &exchange : fixture.transport.sent)
+        exchange.listener.reset();
+    fixture.advance(1000ms);
+    for (const auto &upstream : fixture.views.pin()->find("desk")->upstreams)
+        CHECK(upstream->inFlight() == 0);
+}
+
 // Guards against a merged answer with fewer shards than the route requires, a minimum that is
 // rounded wrongly, and a wrong count of missing shards.
 TEST_CASE("a merged answer has the required share of shards and counts the missing ones")
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -34,6 +34,8 @@
     {
         sent.push_back({sent.size() + 1, upstream, std::move(request), deadline,
                         std::move(listener), true});
+        if (failsInsideSend)
+            fail(sent.size() - 1, ExchangeFailure::NotSent);
         return sent.back().id;
     }
     void cancel(ExchangeId id) override
@@ -62,6 +64,8 @@
     std::vector<Sent> sent;
     /// Instances that accept no further exchange.
     std::set<std::string> full;
+    /// Whether each exchange fails before send() returns, against the contract of ExchangeListener.
+    bool failsInsideSend = false;
     int cancelled = 0;
 };
 
@@ -194,17 +198,18 @@
             service.budget->addFirstAttempts(1000);
     }
     /// Passes a GET request of @p target to the gateway; its answer is appended to `answers`.
+    /// @param age time since the first byte of the request arrived
     /// @return the result of Gateway::handle()
     std::uint64_t request(const std::string &target,
                           std::optional<Duration> callerTimeout = std::nullopt,
-                          bool isFirstOnConnection = false)
+                          bool isFirstOnConnection = false, Duration age = Duration::zero())
     {
         auto forward = std::make_shared<ForwardRequest>();
         forward->id = "r1";
         forward->method = "GET";
         forward->target = target;
         return gateway.handle(
-                {"shop.example", forward, timers.now(), isFirstOnConnection, callerTimeout},
+                {"shop.example", forward, timers.now() - age, isFirstOnConnection, callerTimeout},
                 [this](RoutedAnswer answer) { answers.push_back(std::move(answer)); });
     }
     void advance(Duration step) { timers.advance(step); }
--- a/tests/upstream_connections_test.cpp
+++ b/tests/upstream_connections_test.cpp
@@ -24,11 +24,16 @@
 struct Outcome final : ExchangeListener
 {
     void onReply(ExchangeId, UpstreamReply answer) override { reply = std::move(answer); }
-    void onFailure(ExchangeId, ExchangeFailure reason) override { failure = reason; }
+    void onFailure(ExchangeId, ExchangeFailure reason) override
+    {
+        failure = reason;
+        ++failures;
+    }
     bool hasEnded() const { return reply || failure; }
 
     std::optional<UpstreamReply> reply;
     std::optional<ExchangeFailure> failure;
+    int failures = 0;
 };
 
 /// Connections of one worker to one scripted searcher.
@@ -51,6 +56,7 @@
         request->headers = {{"Host", "shop.example"}, {"Call-Id", id}, {"X-Own", "kept"}};
         auto outcome = std::make_shared<Outcome>();
         connections.send(upstream, request, timers.now() + time, outcome);
+        hasEndedInsideSend = outcome->hasEnded();
         return outcome;
     }
     /// Sends a request and waits for its outcome. Fails the test after TestTimeout.
@@ -70,6 +76,8 @@
     RawServer server;
     UpstreamConnections connections{context, timers, Names};
     std::shared_ptr<Upstream> upstream;
+    /// Whether the last exchange ended before send() had returned its id.
+    bool hasEndedInsideSend = false;
 };
 
 std::string goodAnswer(const std::string &id, const std::string &body = "body",
@@ -363,6 +371,36 @@
     CHECK(*outcome->failure == ExchangeFailure::NotSent);
 }
 
+// Guards against an end that is reported before the sender knows the id of the exchange, so that
+// the request counts as in flight for good.
+TEST_CASE("no exchange ends before send() returns")
+{
+    using Prepare = std::function<void(Fixture &)>;
+    const auto [failure, prepare, time] = GENERATE(table<const char *, Prepare, Duration>({
+            {"an open connection reports an expired deadline at once",
+             [](Fixture &f) { CHECK(f.exchange("r0")->reply); }, -10ms},
+            {"a new connection reports an expired deadline at once", [](Fixture &) {}, -10ms},
+            {"an address that cannot be parsed is reported at once",
+             [](Fixture &f) {
+                 SearcherRecord record = searcher("desk", "odd");
+                 record.address = "nowhere";
+                 f.upstream = std::make_shared<Upstream>(record);
+             },
+             500ms},
+    }));
+    INFO(failure);
+    Fixture fixture([](const std::string &head) {
+        return RawAnswer{goodAnswer(headerValue(head, "Call-Id"))};
+    });
+    prepare(fixture);
+    const auto outcome = fixture.exchange("r1", time);
+    CHECK_FALSE(fixture.hasEndedInsideSend);
+    REQUIRE(outcome->failure);
+    CHECK(*outcome->failure == ExchangeFailure::NotSent);
+    fixture.runFor(100ms);
+    CHECK(outcome->failures == 1);
+}
+
 // Guards against connections beyond this daemon's share of a searcher's limit.
 TEST_CASE("a searcher has capacity while it has fewer connections than this daemon's share")
 {
