tests: give the gateway of the fixture addresses that nothing else can take

The fixture chose its ports one after the other and released each before the gateway bound it, so that two of its addresses, or a connection of another process, could get the same one. Ports are held until all are chosen, on a loopback address that no other process uses, and the reason of a failure is printed.

--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -6,9 +6,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <csignal>
 #include <optional>
 #include <thread>
+#include <unistd.h>
+#include <vector>
 
 using namespace geraniumcart;
 using namespace geraniumcart::test;
@@ -21,19 +24,42 @@
 /// Maximum time to wait for an expected state.
 constexpr auto TestTimeout = 8s;
 
+/// @return a loopback address that no other process uses, so that none of their connections takes a
+/// port between its choice and its use
+std::string ownLoopbackAddress()
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + process / 250 % 250) + '.' +
+           std::to_string(1 + process % 250) + ".1";
+}
+
 /// HttpClient sends the address in the Host header.
-constexpr const char *Host = "127.0.0.1";
+const std::string Host = ownLoopbackAddress();
 /// Two 16-byte results of a shard; merging sorts the higher one first.
 constexpr const char *LowResult = "aaaaaaaaaaaaaaaa";
 constexpr const char *HighResult = "zzzzzzzzzzzzzzzz";
 
-/// @return a loopback address whose port was free a moment ago
-std::string freeAddress(boost::asio::io_context &context)
+/// Addresses whose ports are different and free.
+class FreeAddresses
 {
-    const boost::asio::ip::tcp::acceptor acceptor(context,
-                                                  {boost::asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
+public:
+    explicit FreeAddresses(boost::asio::io_context &context)
+    {
+        // All ports are held until the last one is chosen, since the kernel may choose a released
+        // one again.
+        std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+        for (std::string &address : m_addresses) {
+            acceptors.emplace_back(context, boost::asio::ip::tcp::endpoint{
+                                                    boost::asio::ip::make_address(Host), 0});
+            address = Host + ':' + std::to_string(acceptors.back().local_endpoint().port());
+        }
+    }
+    const std::string &next() { return m_addresses.at(m_next++); }
+
+private:
+    std::array<std::string, 5> m_addresses;
+    std::size_t m_next = 0;
+};
 
 /// Runs a gateway with the real platform code on a thread of its own, with a fake store and fake
 /// searchers: two of the service `desk` and one of each of two shards.
@@ -44,21 +70,24 @@
     {
         store.put("config", "main", configuration(1));
         publish();
+        FreeAddresses addresses(context);
         GatewaySettings settings;
         settings.name = "d0";
         settings.zone = "z";
-        settings.callerAddress = callerEndpoint = freeAddress(context);
-        settings.directoryAddress = directoryEndpoint = freeAddress(context);
-        settings.readyAddress = readinessEndpoint = freeAddress(context);
-        settings.metricsAddress = metricsEndpoint = freeAddress(context);
-        settings.peerAddress = freeAddress(context);
+        settings.callerAddress = callerEndpoint = addresses.next();
+        settings.directoryAddress = directoryEndpoint = addresses.next();
+        settings.readyAddress = readinessEndpoint = addresses.next();
+        settings.metricsAddress = metricsEndpoint = addresses.next();
+        settings.peerAddress = addresses.next();
         settings.storeAddress = store.address();
         settings.retries = {0.2, 100};
         settings.stopGrace = 1s;
         platform.emplace(*parseEndpoint(settings.storeAddress), 2s);
         daemon.emplace(settings, *platform);
         std::string reason;
-        REQUIRE(daemon->open(reason));
+        const bool isOpen = daemon->open(reason);
+        INFO(reason);
+        REQUIRE(isOpen);
         thread = std::thread([this] {
             daemon->run();
             hasStopped = true;
