Send no body in the response to a HEAD request

Cause: whether a response has a body was left to each handler, and four of five did not know the method. The fifth left it out only if the request could be decoded.

Change: CallerSession knows the method, however much of the request has arrived, and sends the header alone. All listeners use it: callers, directory, readiness and metrics, and the product's own interface, whose handler no longer has a rule of its own.

--- a/src/connection/caller_codec_p.h
+++ b/src/connection/caller_codec_p.h
@@ -19,8 +19,6 @@
     /// HTTP version in Beast's form: 10 or 11.
     unsigned version = 11;
     bool keepAlive = true;
-    /// The request method is HEAD, so the response carries no body.
-    bool isHead = false;
     /// Method that the path accepts; sent in the Allow header with status 405.
     const char *allowedMethod = "";
 };
--- a/src/connection/caller_request_codec.cpp
+++ b/src/connection/caller_request_codec.cpp
@@ -193,7 +193,6 @@
 {
     framing.version = request.version();
     framing.keepAlive = request.keep_alive();
-    framing.isHead = request.method() == http::verb::head;
 
     const std::string_view target = view(request.target());
     const std::string_view path = target.substr(0, target.find('?'));
--- a/src/connection/caller_response_codec.cpp
+++ b/src/connection/caller_response_codec.cpp
@@ -364,8 +364,6 @@
     message.keep_alive(framing.keepAlive);
     std::visit(BodyEncoder{message.body()}, response.answer);
     message.content_length(message.body().size());
-    if (framing.isHead)
-        message.body().clear();
     return message;
 }
 
--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::string_view ContinueMessage = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view HeadRequestStart = "HEAD ";
 
 Refusal makeRefusal(RefusalKind kind, std::string reason)
 {
@@ -106,6 +107,7 @@
     }
     m_state = State::Idle;
     m_isHeaderHandled = false;
+    m_isHead = false;
     if (const auto limits = m_handler.limits())
         m_limits = *limits;
     m_parser.emplace();
@@ -131,6 +133,7 @@
         error_code error;
         const std::size_t used = m_parser->put(m_buffer.cdata(), error);
         consume(used);
+        m_isHead = isHeadRequest();
         if (error == http::error::need_more)
             break;
         if (error) {
@@ -160,6 +163,17 @@
         sendContinue();
 }
 
+bool CallerSession::isHeadRequest() const
+{
+    const http::verb method = m_parser->get().method();
+    if (method != http::verb::unknown)
+        return method == http::verb::head;
+    // The parser consumes the request line only as a whole.
+    const auto unparsed = m_buffer.cdata();
+    return std::string_view(static_cast<const char *>(unparsed.data()), unparsed.size())
+            .starts_with(HeadRequestStart);
+}
+
 void CallerSession::sendContinue()
 {
     m_isSendingContinue = true;
@@ -233,14 +247,22 @@
 
 void CallerSession::write()
 {
-    http::async_write(
-            m_socket, *m_response,
-            [self = shared_from_this()](error_code error, std::size_t) { self->onWritten(error); });
+    const auto onDone = [self = shared_from_this()](error_code error, std::size_t) {
+        self->onWritten(error);
+    };
+    if (!m_isHead) {
+        http::async_write(m_socket, *m_response, onDone);
+        return;
+    }
+    m_headerSerializer.emplace(*m_response);
+    m_headerSerializer->split(true);
+    http::async_write_header(m_socket, *m_headerSerializer, onDone);
 }
 
 void CallerSession::onWritten(error_code error)
 {
     const bool keepsAlive = m_response->keep_alive();
+    m_headerSerializer.reset();
     m_response.reset();
     if (m_state == State::Closed)
         return;
--- a/src/connection/caller_session_p.h
+++ b/src/connection/caller_session_p.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <array>
 #include <cstdint>
@@ -20,8 +22,8 @@
 /// One caller's HTTP connection. Requests are handled one at a time; pipelined requests wait in the
 /// buffer. The socket is read while a request runs, in order to detect the end of the connection. A
 /// caller that shuts down its sending side is treated as disconnected, and its running request is
-/// abandoned; a response that is already being sent is completed. Used only on the thread of one
-/// worker.
+/// abandoned; a response that is already being sent is completed. Of the response to a HEAD request
+/// only the header is sent, whichever handler made it. Used only on the thread of one worker.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
@@ -67,6 +69,8 @@
     void awaitRequest();
     void parse();
     void onHeader();
+    /// True if the request that the parser reads is a HEAD request, as far as it has arrived.
+    bool isHeadRequest() const;
     void sendContinue();
     void refuseUnparsed(boost::system::error_code error);
     void dispatch();
@@ -94,6 +98,8 @@
     /// An interim `100 Continue` is being written.
     bool m_isSendingContinue = false;
     bool m_isHeaderHandled = false;
+    /// The current request is a HEAD request.
+    bool m_isHead = false;
     TimerId m_timer = 0;
 
     std::array<char, 8192> m_incoming;
@@ -106,6 +112,9 @@
     std::uint64_t m_sequence = 0;
     CallId m_callId = 0;
     std::optional<HttpResponse> m_response;
+    /// Writes the header of m_response alone, in answer to a HEAD request.
+    std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>>
+            m_headerSerializer;
 };
 
 } // namespace geraniumcart
--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -274,6 +274,41 @@
     CHECK(server.running() == 0);
 }
 
+// Guards against a body behind the header of a response to HEAD: the caller reads it as the start
+// of its next response.
+TEST_CASE("the response to a HEAD request has no body")
+{
+    const std::string head = "HEAD /healthz HTTP/1.1\r\n";
+    const auto [failure, sent, status, isKept] =
+            GENERATE_COPY(table<const char *, std::string, const char *, bool>({
+                    {"a wrong method has a body", head + "\r\n", "405", true},
+                    {"an unknown path has a body", "HEAD /other HTTP/1.1\r\n\r\n", "404", true},
+                    {"a request with a body has one in its response",
+                     head + "Content-Length: 3\r\n\r\n123", "405", true},
+                    {"a request that closes the connection has a body",
+                     head + "Connection: close\r\n\r\n", "405", false},
+                    {"a body that is too long has one in its response",
+                     head + "Content-Length: 65\r\n\r\n", "413", false},
+                    {"an unread body that the caller announced has one in its response",
+                     head + "Expect: 100-continue\r\nContent-Length: 65\r\n\r\n", "413", false},
+                    {"a header that is too long has a body", head + "X: " + std::string(1100, 'x'),
+                     "431", false},
+                    {"an invalid header has a body", head + "bad\x01: 1\r\n\r\n", "400", false},
+                    {"a request that arrives too slowly has a body", head + "X: y", "408", false},
+                    {"a body that arrives too slowly has one in its response",
+                     head + "Content-Length: 9\r\n\r\n123", "408", false},
+            }));
+    INFO(failure);
+    Server server;
+    Client client(server);
+    client.send(isKept ? sent + Bye : sent);
+    const std::string received = client.receive("");
+    CHECK(client.isClosed);
+    REQUIRE(received.starts_with(std::string("HTTP/1.1 ") + status));
+    const std::string next = received.substr(received.find("\r\n\r\n") + 4);
+    CHECK(next.substr(0, next.find("\r\n")) == (isKept ? "HTTP/1.1 200 OK" : ""));
+}
+
 // Guards against a client that sends `Expect: 100-continue` and waits forever for the interim
 // response, and against a body that is requested only to be refused.
 TEST_CASE("100 Continue is sent if the caller expects it")
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -4,6 +4,9 @@
 #include "connection/http_client_p.h"
 #include "platform.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -153,6 +156,20 @@
             context.run_one_for(100ms);
         return *answer;
     }
+    /// Sends @p bytes on a connection of its own.
+    /// @return all received bytes, once the gateway has closed the connection
+    std::string exchange(const std::string &address, const std::string &bytes)
+    {
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect(*parseEndpoint(address));
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string received;
+        bool isClosed = false;
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(received),
+                                [&isClosed](auto, auto) { isClosed = true; });
+        CHECK(eventually([&isClosed] { return isClosed; }));
+        return received;
+    }
     /// @return the status of the answer to GET @p target; 200 also if the call fails, see call()
     unsigned get(const std::string &address, const std::string &target)
     {
@@ -248,6 +265,35 @@
     }
 }
 
+// Guards against a body in an answer of the gateway's own to HEAD: the caller reads it as the start
+// of its next answer.
+TEST_CASE("the gateway's own answers to HEAD have no body")
+{
+    using Address = std::string Fixture::*;
+    const auto [failure, address, target,
+                status] = GENERATE(table<const char *, Address, const char *, const char *>({
+            {"an unknown route has a body", &Fixture::callerEndpoint, "/none/1", "404"},
+            {"a refusal has a body", &Fixture::callerEndpoint, "/desk/1", "503"},
+            {"the directory has a body", &Fixture::directoryEndpoint, "/api/resolution", "404"},
+            {"the readiness probe has a body", &Fixture::readinessEndpoint, "/api/readiness",
+             "404"},
+            {"the metrics have a body", &Fixture::metricsEndpoint, "/metrics", "404"},
+    }));
+    INFO(failure);
+    Fixture fixture;
+    fixture.searcherA.mode = fixture.searcherB.mode = Mode::Full;
+    const auto request = [target = target](const char *method, const char *id) {
+        return std::string(method) + ' ' + target + " HTTP/1.1\r\nHost: " + Host +
+               "\r\nRequest-Id: " + id + "\r\n";
+    };
+    const std::string received = fixture.exchange(
+            fixture.*address,
+            request("HEAD", "h1") + "\r\n" + request("GET", "h2") + "Connection: close\r\n\r\n");
+    REQUIRE(received.starts_with(std::string("HTTP/1.1 ") + status));
+    const std::string next = received.substr(received.find("\r\n\r\n") + 4);
+    CHECK(next.starts_with("HTTP/1.1 "));
+}
+
 // Guards against an at-most-once request that runs twice, or whose answer claims more than the
 // gateway knows. A request that may have run gets 502 or 504 and is not sent again; only a refusal
 // that proves that it did not run allows another attempt and 503 with Retry-After.
