Tell a daemon of deletions that its watchers have never seen

Cause: a daemon learned of a deletion only from a source that had held the object. Both of its sources were new processes that had listed the store after the removal. Digests differed for good, and the answer to a pull said what is newer, never what is gone. In addition, the 1.8 s for which a searcher without an entry stays in use counted from the moment at which the removal was learned, which may itself be 1.8 s late.

One different heartbeat is enough for a pull if none has been equal for 1.2 s. The time of grace counts from when this daemon's objects were last known to be current, unless the store failed since or shortly before; watchers state that in their heartbeats. A difference that lasts longer than 6 s is an error in the log, and a gauge.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -49,10 +50,11 @@
     /// it deletes nothing then
     virtual void onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                               std::uint64_t revision, bool isComplete) = 0;
-    /// Called after each answer of the store.
+    /// Called after each answer of the store, before the calls for its objects.
     /// @param validFor time from now after which the objects of @p kind may have changed without
     /// this daemon having been told, unless the store answers again
-    virtual void onStoreContact(StoredKind kind, Duration validFor) = 0;
+    /// @param isComplete false if further pages of the answer follow
+    virtual void onStoreContact(StoredKind kind, Duration validFor, bool isComplete) = 0;
     /// Called after a call to the store failed or was refused.
     virtual void onStoreFailure() = 0;
 };
@@ -62,15 +64,19 @@
 /// current, for the kind of objects with the oldest answer. A daemon watches the store itself once
 /// that time has passed for all of its watchers; it then also sends what it learns to some
 /// neighbors, which the store may not answer. A daemon that starts while the store does not answer
-/// requests all objects from its peers, so that it can serve without the store. An object is never
-/// replaced by an older version. Used on the control thread only.
+/// requests all objects from its peers, so that it can serve without the store. A daemon whose
+/// objects differ from those of its watchers asks for the difference, deletions included: a watcher
+/// that has started after an object was deleted never held it, but its list shows that it is gone.
+/// An object is never replaced by an older version. Used on the control thread only.
 class FleetRelay final : public StoredObjectListener
 {
 public:
     struct Callbacks
     {
-        /// Called for each object that was added or replaced by a newer version.
-        ConfigReplica::Listener apply;
+        /// Called for each object that was added or replaced by a newer version. The duration is
+        /// the longest time for which the store may have had this version; zero if the store has
+        /// failed since the objects were last known to be current.
+        std::function<void(const StoredObject &, Duration)> apply;
         /// Starts (true) or stops (false) watching the store. The number is that of the daemons
         /// that start at the same time because no watcher sends heartbeats, or 0 for a watcher.
         std::function<void(bool, std::uint32_t)> setWatching;
@@ -87,8 +93,8 @@
     void onStoredObject(StoredObject object) override;
     void onObjectList(const std::string &prefix, const std::set<std::string> &keys,
                       std::uint64_t revision, bool isComplete) override;
-    void onStoreContact(StoredKind kind, Duration validFor) override;
-    void onStoreFailure() override { m_hasStoreFailed = true; }
+    void onStoreContact(StoredKind kind, Duration validFor, bool isComplete) override;
+    void onStoreFailure() override;
 
     // Process the messages of peers.
     void onStateHeartbeat(const std::string &peerAddress, const PeerStateHeartbeat &heartbeat);
@@ -104,6 +110,12 @@
     }
     /// Combined hash of all objects that have not been deleted.
     std::uint64_t digest() const { return m_digest; }
+    /// Time for which all heartbeats have had another digest than this daemon; zero if the last one
+    /// had the same.
+    Duration differenceAge() const
+    {
+        return m_differsSince ? m_timers.now() - *m_differsSince : Duration::zero();
+    }
 
 private:
     /// @param source address of the peer that sent the object; empty for the store
@@ -111,9 +123,17 @@
     /// Logs the objects that were received in this turn of the event loop, one line for each
     /// source.
     void logReceived();
-    /// True for an object that this daemon does not hold although it is older than the last list of
-    /// its kind. A peer that was cut off or paused may still hold it.
-    bool wasDeletedBeforeList(const StoredObject &object) const;
+    /// Revision of the list that shows that an object was deleted: this daemon does not hold it
+    /// although it is older than the last list of its kind. A peer that was cut off or paused, or
+    /// whose watchers have restarted, may still hold it.
+    std::optional<std::uint64_t> deletedBeforeList(const std::string &key,
+                                                   std::uint64_t version) const;
+    /// @param currentAt time at which this daemon's objects were last known to be current
+    /// @return the longest time for which the store may have had a change that is learned now, see
+    /// Callbacks::apply
+    Duration changeAge(TimePoint currentAt) const;
+    /// Asks @p peer for the difference if its heartbeats have differed for long enough.
+    void onOtherDigest(const std::string &peer);
     void tick();
     /// @param substitutes see Callbacks::setWatching
     void setWatching(bool isWatching, std::uint32_t substitutes);
@@ -168,6 +188,8 @@
     bool m_isSubstitute = false;
     /// True if the last call to the store failed.
     bool m_hasStoreFailed = false;
+    /// Time of the last failed call of this daemon or of one of its watchers.
+    std::optional<TimePoint> m_lastStoreFailure;
     bool m_hasScheduledPeerRequest = false;
     /// True from the time at which the last watcher was lost until one returns. False until a
     /// daemon that starts has had a watcher.
@@ -175,6 +197,16 @@
     /// Consecutive heartbeats of one watcher whose digest differs from this daemon's, by its peer
     /// address.
     std::map<std::string, std::uint32_t> m_mismatches;
+    /// Time of the first heartbeat with another digest since one with the same digest.
+    std::optional<TimePoint> m_differsSince;
+    /// Time of the last heartbeat with the same digest, or of the first heartbeat of all.
+    std::optional<TimePoint> m_lastSameDigest;
+    TimePoint m_lastDifferenceLog{};
+    /// Time at which the objects of each kind were last known to be current, from an answer of the
+    /// store or a heartbeat with the same digest; the clock's epoch before the first.
+    std::array<TimePoint, StoredKinds> m_currentAt{};
+    /// See Callbacks::apply; of the objects that are being offered.
+    Duration m_changeAge{};
     /// Time until which a watcher has stated that its objects are current; the clock's epoch before
     /// the first heartbeat.
     TimePoint m_validUntil{};
--- a/include/geraniumcart/peer_messages.h
+++ b/include/geraniumcart/peer_messages.h
@@ -152,7 +152,8 @@
 struct PeerStateHeartbeat
 {
     std::uint64_t digest = 0;
-    /// Time from now for which the sender's objects are known to be current.
+    /// Time from now for which the sender's objects are known to be current; zero if the store does
+    /// not answer the sender.
     Duration validFor{};
 };
 
--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -124,7 +124,9 @@
     /// Replaces the known state of the searcher with this instance id.
     virtual void onSearcher(const SearcherRecord &record) = 0;
     /// Called after the entry of a searcher was deleted or has expired.
-    virtual void onSearcherRemoved(const std::string &instanceId) = 0;
+    /// @param age longest time since then; zero if the entry may have expired in an outage of the
+    /// store
+    virtual void onSearcherRemoved(const std::string &instanceId, Duration age) = 0;
     /// Takes an availability zone out of service.
     virtual void onZoneOut(const std::string &zone) = 0;
     /// Returns an availability zone to service.
@@ -171,7 +173,7 @@
 
     void onRoutes(RouteTable routes) override;
     void onSearcher(const SearcherRecord &record) override;
-    void onSearcherRemoved(const std::string &instanceId) override;
+    void onSearcherRemoved(const std::string &instanceId, Duration age) override;
     void onZoneOut(const std::string &zone) override;
     void onZoneRestored(const std::string &zone) override;
 
@@ -202,7 +204,7 @@
         TimerId removal = 0;
     };
 
-    void scheduleRemoval(const std::string &instanceId, Entry &entry);
+    void scheduleRemoval(const std::string &instanceId, Entry &entry, Duration delay);
     /// Removes a searcher from the view. The announcement of its stop is kept for a while, so that
     /// it still applies if the entry is written again.
     void remove(const std::string &instanceId);
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -128,7 +128,8 @@
 
     /// Formats all metrics. Called on the workers.
     std::string metricsText() const;
-    /// Copies the age of the fleet's state for metricsText(), now and at each interval.
+    /// Copies the age and the difference of the fleet's state for metricsText(), now and at each
+    /// interval.
     void exportStateAge();
     /// Passes a new view to the workers. With the first view that has routes and searchers,
     /// schedules becomeReady().
@@ -162,8 +163,10 @@
     ServingViewPublisher m_views;
     Stats m_stats;
     StoreCallCounts m_storeCalls;
-    /// Age of the fleet's state at the last export, for metricsText() on the workers.
+    /// Age of the fleet's state at the last export, and time for which it has differed from that of
+    /// the watchers, for metricsText() on the workers.
     std::atomic<Duration::rep> m_stateAge{0};
+    std::atomic<Duration::rep> m_stateDifferenceAge{0};
     ServingViewBuilder m_builder;
     WorkerPool m_workers;
     EntryRole m_role;
@@ -252,12 +255,13 @@
             });
     if (!m_peers->open(m_settings.peerAddress, reason))
         return false;
-    m_relay.emplace(
-            m_settings.name, m_timers, *m_network,
-            FleetRelay::Callbacks{[this](const StoredObject &object) { m_source->apply(object); },
-                                  [this](bool isWatching, std::uint32_t substitutes) {
-                                      m_source->setWatching(isWatching, substitutes);
-                                  }});
+    m_relay.emplace(m_settings.name, m_timers, *m_network,
+                    FleetRelay::Callbacks{[this](const StoredObject &object, Duration age) {
+                                              m_source->apply(object, age);
+                                          },
+                                          [this](bool isWatching, std::uint32_t substitutes) {
+                                              m_source->setWatching(isWatching, substitutes);
+                                          }});
     m_source = m_platform.makeFleetSource(m_context, m_timers, *m_relay, m_builder, m_rollouts,
                                           m_storeCalls);
     m_builder.setObserver([this] { onViewPublished(); });
@@ -345,6 +349,7 @@
     for (const auto &worker : m_gatewayWorkers)
         worker->addLinks(health.links, health.linkCounts);
     health.stateAge = Duration(m_stateAge.load(std::memory_order_relaxed));
+    health.stateDifferenceAge = Duration(m_stateDifferenceAge.load(std::memory_order_relaxed));
     return m_stats.prometheusText() +
            gatewayGauges(*m_views.pin(), health, m_storeCalls, m_timers.now());
 }
@@ -352,6 +357,7 @@
 void GatewayDaemon::Impl::exportStateAge()
 {
     m_stateAge.store(m_relay->stateAge().count(), std::memory_order_relaxed);
+    m_stateDifferenceAge.store(m_relay->differenceAge().count(), std::memory_order_relaxed);
     m_timers.schedule(ExportInterval, [this] { exportStateAge(); });
 }
 
--- a/src/process/gateway_daemon_p.h
+++ b/src/process/gateway_daemon_p.h
@@ -31,7 +31,8 @@
     ///     watcher
     virtual void setWatching(bool isWatching, std::uint32_t substitutes) = 0;
     /// Decodes one object from the store or from a peer and passes its content to the listeners.
-    virtual void apply(const StoredObject &object) = 0;
+    /// @param age see FleetRelay::Callbacks::apply
+    virtual void apply(const StoredObject &object, Duration age) = 0;
     /// Writes the state of a rollout if the stored object still has the revision of @p order. A
     /// failure is logged; the caller tries again while the store holds another state.
     virtual void recordRollout(const RolloutOrder &order) = 0;
--- a/src/process/gateway_metrics.cpp
+++ b/src/process/gateway_metrics.cpp
@@ -66,6 +66,8 @@
               static_cast<double>(health.linkCounts.closed[i]));
     gauge(text, "fleet_state_age_seconds", "",
           std::chrono::duration<double>(health.stateAge).count());
+    gauge(text, "fleet_state_difference_seconds", "",
+          std::chrono::duration<double>(health.stateDifferenceAge).count());
     gauge(text, "configuration_version", "",
           view.routes ? static_cast<double>(view.routes->version) : 0);
     gauge(text, "view_age_seconds", "",
--- a/src/process/gateway_metrics_p.h
+++ b/src/process/gateway_metrics_p.h
@@ -17,6 +17,9 @@
     LinkCounts linkCounts;
     /// Time since the last message from the store or from a daemon that watches it.
     Duration stateAge{};
+    /// Time for which the daemon's objects have differed from those of the daemons that watch the
+    /// store.
+    Duration stateDifferenceAge{};
 };
 
 /// Formats the state of a daemon as Prometheus gauges: versions, numbers of searchers and daemons,
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -38,8 +38,16 @@
 /// Number of consecutive heartbeats with another digest before all objects are compared. A single
 /// difference may be a change that is still in transit.
 constexpr std::uint32_t MismatchesBeforePull = 3;
+/// Time since the last heartbeat with the same digest after which one difference suffices. Changes
+/// are missed while the watchers of a daemon restart.
+constexpr std::chrono::milliseconds SameDigestTime = 3 * StateHeartbeatInterval;
 /// Minimum time between two such comparisons.
 constexpr std::chrono::milliseconds PullInterval{2000};
+/// Time after which a difference that comparisons do not resolve is reported, and interval between
+/// two reports.
+constexpr std::chrono::seconds DifferenceReportTime{6};
+/// Time after an outage of the store in which entries that expired during it are written again.
+constexpr std::chrono::seconds EntryReturnTime{2};
 /// Time that a starting daemon waits for an answer of the store before it also requests all objects
 /// from its peers. The store usually answers within a few milliseconds, and copies from peers would
 /// be most of the traffic when a large fleet starts.
@@ -148,7 +156,7 @@
     , m_timers(timers)
     , m_network(network)
     , m_callbacks(std::move(callbacks))
-    , m_replica([this](const StoredObject &object) { m_callbacks.apply(object); })
+    , m_replica([this](const StoredObject &object) { m_callbacks.apply(object, m_changeAge); })
 {
 }
 
@@ -255,7 +263,10 @@
 
 void FleetRelay::sendHeartbeats()
 {
-    if (const Duration validFor = validity(); isDesignated() && validFor > Duration::zero())
+    // Without validity the heartbeat tells that the store does not answer this daemon.
+    const Duration validFor = std::max(validity(), Duration::zero());
+    const bool isStated = validFor > Duration::zero() || (m_isWatching && m_hasStoreFailed);
+    if (isDesignated() && isStated)
         for (const std::string &follower : m_followers)
             m_network.send(follower, PeerStateHeartbeat{m_digest, validFor});
     m_timers.schedule(StateHeartbeatInterval, [this] { sendHeartbeats(); });
@@ -330,11 +341,29 @@
     }
 }
 
-void FleetRelay::onStoreContact(StoredKind kind, Duration validFor)
+void FleetRelay::onStoreContact(StoredKind kind, Duration validFor, bool isComplete)
 {
     m_lastContact = m_timers.now();
     m_kindValidUntil[static_cast<std::size_t>(kind)] = m_lastContact + validFor;
     m_hasStoreFailed = false;
+    TimePoint &currentAt = m_currentAt[static_cast<std::size_t>(kind)];
+    m_changeAge = changeAge(currentAt);
+    if (isComplete)
+        currentAt = m_lastContact;
+}
+
+void FleetRelay::onStoreFailure()
+{
+    m_hasStoreFailed = true;
+    m_lastStoreFailure = m_timers.now();
+}
+
+Duration FleetRelay::changeAge(TimePoint currentAt) const
+{
+    const bool hasFailed = m_lastStoreFailure && *m_lastStoreFailure + EntryReturnTime > currentAt;
+    if (hasFailed || currentAt == TimePoint())
+        return Duration::zero();
+    return m_timers.now() - currentAt;
 }
 
 void FleetRelay::sendPendingChanges()
@@ -353,20 +382,48 @@
 void FleetRelay::onStateHeartbeat(const std::string &peerAddress,
                                   const PeerStateHeartbeat &heartbeat)
 {
-    m_lastStateHeartbeat = m_timers.now();
+    const TimePoint now = m_timers.now();
+    if (heartbeat.validFor <= Duration::zero()) {
+        m_lastStoreFailure = now;
+        return;
+    }
+    m_lastStateHeartbeat = now;
     m_validUntil =
-            std::max(m_validUntil, m_lastStateHeartbeat + std::min<Duration>(heartbeat.validFor,
-                                                                             MaxStatedValidity));
-    std::uint32_t &mismatches = m_mismatches[peerAddress];
-    if (heartbeat.digest == m_digest) {
-        mismatches = 0;
+            std::max(m_validUntil, now + std::min<Duration>(heartbeat.validFor, MaxStatedValidity));
+    if (!m_lastSameDigest)
+        m_lastSameDigest = now;
+    if (heartbeat.digest != m_digest) {
+        onOtherDigest(peerAddress);
         return;
     }
-    if (++mismatches < MismatchesBeforePull || m_timers.now() - m_lastPull < PullInterval)
+    m_mismatches[peerAddress] = 0;
+    m_lastSameDigest = now;
+    m_differsSince.reset();
+    m_currentAt.fill(now);
+}
+
+void FleetRelay::onOtherDigest(const std::string &peerAddress)
+{
+    const TimePoint now = m_timers.now();
+    if (!m_differsSince)
+        m_differsSince = now;
+    if (differenceAge() > DifferenceReportTime &&
+        now - m_lastDifferenceLog > DifferenceReportTime) {
+        m_lastDifferenceLog = now;
+        logEvent(LogLevel::Error, "fleetStateDiffers",
+                 {{"peer", peerAddress},
+                  {"since", differenceAge()},
+                  {"objects", m_replica.versions().size()}});
+    }
+    std::uint32_t &mismatches = m_mismatches[peerAddress];
+    const bool isDue =
+            ++mismatches >= MismatchesBeforePull || now - *m_lastSameDigest > SameDigestTime;
+    if (!isDue || now - m_lastPull < PullInterval)
         return;
     mismatches = 0;
-    m_lastPull = m_timers.now();
-    logEvent(LogLevel::Info, "fleetStateCompared", {{"peer", peerAddress}});
+    m_lastPull = now;
+    logEvent(LogLevel::Info, "fleetStateCompared",
+             {{"peer", peerAddress}, {"sinceSame", now - *m_lastSameDigest}});
     m_network.send(peerAddress, PeerObjectPull{m_replica.versions(), true});
 }
 
@@ -380,23 +437,30 @@
         const auto found = known.find(object.key);
         return found != known.end() ? object.version <= found->second : !pull.isFullCopyWanted;
     });
+    for (const auto &[key, version] : known)
+        if (const auto revision = deletedBeforeList(key, version))
+            newer.push_back({key, *revision, {}});
     for (PeerObjectPush &push : toPushes(std::move(newer)))
         m_network.send(peerAddress, std::move(push));
 }
 
 void FleetRelay::onPush(const std::string &peerAddress, const PeerObjectPush &push)
 {
+    m_changeAge = changeAge(*std::max_element(m_currentAt.begin(), m_currentAt.end()));
     for (const StoredObject &object : push.objects)
-        if (!wasDeletedBeforeList(object))
+        if (!deletedBeforeList(object.key, object.version))
             offer(object, peerAddress);
 }
 
-bool FleetRelay::wasDeletedBeforeList(const StoredObject &object) const
+std::optional<std::uint64_t> FleetRelay::deletedBeforeList(const std::string &key,
+                                                           std::uint64_t version) const
 {
-    if (m_replica.find(object.key))
-        return false;
-    const auto list = m_listRevisions.find(object.key.substr(0, object.key.find('/') + 1));
-    return list != m_listRevisions.end() && object.version <= list->second;
+    if (m_replica.find(key))
+        return std::nullopt;
+    const auto list = m_listRevisions.find(key.substr(0, key.find('/') + 1));
+    if (list == m_listRevisions.end() || version > list->second)
+        return std::nullopt;
+    return list->second;
 }
 
 } // namespace geraniumcart
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-/// A searcher whose entry disappeared while it was not draining is used for this much longer: an
-/// entry that expired during an outage of the store is written again within two seconds. This time
-/// plus the watch interval is below three seconds, after which no request may reach a searcher that
-/// has left.
+/// A searcher whose entry disappeared while it was not draining is used until this long after the
+/// earliest time at which that may have happened: an entry that expired during an outage of the
+/// store is written again within two seconds. After three seconds no request may reach a searcher
+/// that has left.
 constexpr std::chrono::milliseconds ExpiredEntryGrace{1800};
 
 /// Time for which the announcement of a searcher's stop is kept after its removal. It covers an
@@ -82,13 +82,14 @@
     schedulePublish();
 }
 
-void ServingViewBuilder::onSearcherRemoved(const std::string &instanceId)
+void ServingViewBuilder::onSearcherRemoved(const std::string &instanceId, Duration age)
 {
     const auto found = m_searchers.find(instanceId);
     if (found == m_searchers.end())
         return;
     if (!found->second.record.isDraining) {
-        scheduleRemoval(instanceId, found->second);
+        scheduleRemoval(instanceId, found->second,
+                        std::max<Duration>(ExpiredEntryGrace - age, Duration::zero()));
         return;
     }
     remove(instanceId);
@@ -116,12 +117,13 @@
     return std::make_shared<Upstream>(record);
 }
 
-void ServingViewBuilder::scheduleRemoval(const std::string &instanceId, Entry &entry)
+void ServingViewBuilder::scheduleRemoval(const std::string &instanceId, Entry &entry,
+                                         Duration delay)
 {
     if (entry.removal != 0)
         return;
-    entry.removal = m_timers.schedule(ExpiredEntryGrace, [this, instanceId] {
-        logEvent(LogLevel::Info, "searcherGone", {{"instance", instanceId}});
+    entry.removal = m_timers.schedule(delay, [this, instanceId, delay] {
+        logEvent(LogLevel::Info, "searcherGone", {{"instance", instanceId}, {"delay", delay}});
         remove(instanceId);
     });
 }
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -21,7 +21,10 @@
             : fleet(owner)
             , name("d" + std::to_string(index))
             , relay(name, owner.timers, *this,
-                    {[this](const StoredObject &object) { applied[object.key] = object.value; },
+                    {[this](const StoredObject &object, Duration age) {
+                         applied[object.key] = object.value;
+                         lastAge = age;
+                     },
                      [this](bool on, std::uint32_t) { isWatching = on; }})
         {
             relay.start();
@@ -37,6 +40,8 @@
         std::map<std::string, std::string> applied;
         bool isWatching = false;
         bool reachesStore = true;
+        /// Age of the last change that was applied.
+        Duration lastAge{};
         std::map<std::string, std::uint64_t> read;
         FleetRelay relay;
     };
@@ -112,7 +117,7 @@
     static void answer(Node &node)
     {
         for (std::size_t kind = 0; kind < StoredKinds; ++kind)
-            node.relay.onStoreContact(static_cast<StoredKind>(kind), 1800ms);
+            node.relay.onStoreContact(static_cast<StoredKind>(kind), 1800ms, true);
     }
     static std::size_t sizeOf(const PeerObjectPush &push)
     {
@@ -328,6 +333,126 @@
     CHECK((fleet.pulls > 0) == isAsked);
 }
 
+// Guards against an object that stays in use for good since the daemon that is asked for the
+// difference has never held it, and against the loss of one that its list could not contain.
+TEST_CASE("a pull is answered with the deletions that the list of the sender shows")
+{
+    const auto [failure, key, version, isComplete,
+                isDeleted] = GENERATE(table<const char *, const char *, std::uint64_t, bool, bool>({
+            {"an object that the list lacks is kept", "servers/left", 40, true, true},
+            {"a listed object is deleted", "servers/known", 40, true, false},
+            {"an object that was written after the list is deleted", "servers/new", 51, true,
+             false},
+            {"an object that an old list lacks is deleted", "servers/recent", 40, false, false},
+            {"an object of a kind that was not listed is deleted", "evacuations/z", 40, true,
+             false},
+    }));
+    INFO(failure);
+    Fleet fleet(2);
+    Fleet::Node &source = *fleet.nodes["d0"];
+    Fleet::Node &follower = *fleet.nodes["d1"];
+    source.relay.onStoredObject({"servers/known", 45, "listed"});
+    source.relay.onObjectList("servers/", {"servers/known"}, 50, isComplete);
+    follower.relay.onStoredObject({key, version, "held"});
+    source.relay.onPull("d1", {{{key, version}}, true});
+    fleet.timers.advance(1ms);
+    CHECK(follower.applied[key].empty() == isDeleted);
+}
+
+// Guards against a searcher that is used for the whole time for which an entry may be missing,
+// although most of that time had passed when its removal was learned; and against the loss of the
+// searchers whose entries expired in an outage of the store.
+TEST_CASE("a change states how long the store may have had it")
+{
+    using Step = void (*)(FleetRelay & relay, ManualTimerService & timers);
+    const auto [failure, step, age] =
+            GENERATE(
+                    table<const char *, Step, Duration>(
+                            {
+                                    {"the time between two answers is not counted",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(700ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     700ms},
+                                    {"a page of a list counts as the whole list",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(700ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, false);
+                                         timers.advance(5ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     705ms},
+                                    {"an answer of another kind counts",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(600ms);
+                                         relay.onStoreContact(StoredKind::Configuration, 1800ms,
+                                                              true);
+                                         timers.advance(300ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     900ms},
+                                    {"a heartbeat with the same digest does not count",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(600ms);
+                                         relay.onStateHeartbeat("w", {relay.digest(), 1s});
+                                         timers.advance(100ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     100ms},
+                                    {"a heartbeat with another digest counts",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(600ms);
+                                         relay.onStateHeartbeat("w", {relay.digest() + 1, 1s});
+                                         timers.advance(100ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     700ms},
+                                    {"an outage counts",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(1500ms);
+                                         relay.onStoreFailure();
+                                         timers.advance(1500ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     0ms},
+                                    {"an outage that a watcher reports counts",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         timers.advance(1500ms);
+                                         relay.onStateHeartbeat("w", {relay.digest(), 0ms});
+                                         timers.advance(1500ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     0ms},
+                                    {"the time after an outage counts at once",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         relay.onStoreFailure();
+                                         timers.advance(300ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                         timers.advance(800ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     0ms},
+                                    {"the time after an outage never counts again",
+                                     [](FleetRelay &relay, ManualTimerService &timers) {
+                                         relay.onStoreFailure();
+                                         timers.advance(2100ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                         timers.advance(800ms);
+                                         relay.onStoreContact(StoredKind::Searchers, 1800ms, true);
+                                     },
+                                     800ms},
+                            }));
+    INFO(failure);
+    Fleet fleet(1);
+    Fleet::Node &node = *fleet.nodes["d0"];
+    Fleet::answer(node);
+    node.relay.onStoredObject({"servers/a", 40, "held"});
+    step(node.relay, fleet.timers);
+    node.relay.onStoredObject({"servers/a", 41, ""});
+    CHECK(node.lastAge == age);
+}
+
 // Guards against a delayed push from a peer that replaces a newer object.
 TEST_CASE("an object is never replaced by an older version")
 {
--- a/tests/platform_fleet_test.cpp
+++ b/tests/platform_fleet_test.cpp
@@ -17,6 +17,9 @@
 /// Time within which a confirmed configuration has to be in force.
 constexpr Duration ConfigurationBound = 3s;
 
+/// Time after which a searcher that was removed must get no more requests.
+constexpr Duration DrainBound = 3s;
+
 /// Time within which a zone that was taken out must get no more requests.
 constexpr Duration EvacuationBound = 5s;
 
@@ -70,17 +73,28 @@
         return late;
     }
 
-    /// @return the daemons that send requests to the searcher
-    std::vector<std::string> usingSearcher() const
+    /// @return the daemons that send requests to the searcher @p id
+    std::vector<std::string> usingSearcher(const std::string &id = "s0") const
     {
         std::vector<std::string> users;
         for (const auto &[name, node] : nodes()) {
             const ServingViewPin view = node->views.pin();
-            if (const ServiceUpstreams *desk = view->find("desk"); desk && !desk->upstreams.empty())
+            const ServiceUpstreams *desk = view->find("desk");
+            if (desk && std::ranges::any_of(desk->upstreams, [&id](const auto &upstream) {
+                    return upstream->instanceId() == id;
+                }))
                 users.push_back(name);
         }
         return users;
     }
+    /// @return the different digests of all daemons
+    std::set<std::uint64_t> digests() const
+    {
+        std::set<std::uint64_t> found;
+        for (const auto &[name, node] : nodes())
+            found.insert(node->relay.digest());
+        return found;
+    }
 
 private:
     std::uint64_t m_reports = 0;
@@ -122,6 +136,89 @@
     CHECK(fleet.without(2) == std::vector<std::string>());
 }
 
+// Guards against a searcher that stays in use because the daemons that watch the store have started
+// after its removal, so that none of them ever held its entry.
+TEST_CASE("a removed searcher is out of use in time while watchers are lost")
+{
+    const auto [failure, killed, removedAfter, startedAfter] =
+            GENERATE(table<const char *, std::size_t, Duration, Duration>({
+                    {"one watcher restarts", 1, 200ms, 500ms},
+                    {"two watchers restart", 2, 200ms, 500ms},
+                    {"all watchers restart", 3, 200ms, 500ms},
+                    {"two watchers are killed just before the removal", 2, 20ms, 700ms},
+                    {"two watchers restart late", 2, 100ms, 1500ms},
+                    {"two watchers stay away", 2, 200ms, 1min},
+                    {"all watchers stay away", 3, 200ms, 1min},
+                    {"watchers and other daemons restart", 6, 200ms, 500ms},
+            }));
+    // The watches of the kinds are at another point of their wait in each row.
+    const Duration offset = GENERATE(0ms, 170ms, 340ms, 510ms, 680ms);
+    INFO(failure << ", " << offset / 1ms << " ms");
+    ConfiguredFleet fleet(10);
+    fleet.store.put("servers", "leaving",
+                    {{"service", "desk"},
+                     {"address", "127.0.0.1:10"},
+                     {"zone", "open"},
+                     {"slots", 2},
+                     {"state", "ready"}});
+    fleet.store.put("evacuations", "other", {});
+    fleet.advance(3s + offset);
+    REQUIRE(fleet.usingSearcher("leaving").size() == 10);
+    const std::vector<std::string> names = fleet.watchersFirst(11);
+    for (std::size_t i = 0; i < killed; ++i)
+        fleet.kill(names[i]);
+    fleet.timers.schedule(startedAfter, [&fleet, &names, killed = killed] {
+        for (std::size_t i = 0; i < killed; ++i)
+            fleet.start(std::stoi(names[i].substr(1)));
+    });
+    fleet.advance(removedAfter);
+    fleet.store.remove("servers", "leaving");
+    fleet.store.remove("evacuations", "other");
+    fleet.advance(DrainBound);
+    CHECK(fleet.usingSearcher("leaving") == std::vector<std::string>());
+    fleet.advance(4s);
+    CHECK(fleet.digests().size() == 1);
+}
+
+// Guards against the loss of searchers whose entries expire in an outage of the store and are
+// written again soon after it.
+TEST_CASE("searchers whose entries expire in an outage stay in use")
+{
+    const auto [failure, treatment, outage, back] =
+            GENERATE(table<const char *, Treatment, Duration, Duration>({
+                    {"an outage with refused calls", Treatment::Refused, 4500ms, 1500ms},
+                    {"an outage without answers", Treatment::Silent, 4500ms, 1500ms},
+                    {"a long outage", Treatment::Silent, 9s, 1500ms},
+                    {"an entry that is written again late", Treatment::Refused, 4500ms, 1700ms},
+            }));
+    const Duration offset = GENERATE(0ms, 270ms, 540ms);
+    INFO(failure << ", " << offset / 1ms << " ms");
+    const json::object entry{{"service", "desk"},
+                             {"address", "127.0.0.1:10"},
+                             {"zone", "open"},
+                             {"slots", 2},
+                             {"state", "ready"}};
+    ConfiguredFleet fleet(10);
+    fleet.store.put("servers", "lapsed", entry);
+    fleet.advance(3s + offset);
+    REQUIRE(fleet.usingSearcher("lapsed").size() == 10);
+    for (const auto &[name, node] : fleet.nodes())
+        fleet.store.setTreatment(name, treatment);
+    fleet.advance(outage - 100ms);
+    fleet.store.remove("servers", "lapsed");
+    fleet.advance(100ms);
+    for (const auto &[name, node] : fleet.nodes())
+        fleet.store.setTreatment(name, Treatment::Served);
+    for (Duration after{}; after < back; after += 100ms) {
+        fleet.advance(100ms);
+        INFO(after / 1ms << " ms after the outage");
+        CHECK(fleet.usingSearcher("lapsed").size() == 10);
+    }
+    fleet.store.put("servers", "lapsed", entry);
+    fleet.advance(4s);
+    CHECK(fleet.usingSearcher("lapsed").size() == 10);
+}
+
 // Guards against daemons that never learn of a change which the lists of their start lacked.
 TEST_CASE("daemons that start with stale lists learn of the changes that these lack")
 {
--- a/tests/platform_odd_entries_test.cpp
+++ b/tests/platform_odd_entries_test.cpp
@@ -85,7 +85,10 @@
 {
     void onRoutes(RouteTable table) override { routes = std::move(table); }
     void onSearcher(const SearcherRecord &record) override { searchers.insert(record.instanceId); }
-    void onSearcherRemoved(const std::string &instanceId) override { searchers.erase(instanceId); }
+    void onSearcherRemoved(const std::string &instanceId, Duration) override
+    {
+        searchers.erase(instanceId);
+    }
     void onZoneOut(const std::string &zone) override { zonesOut.insert(zone); }
     void onZoneRestored(const std::string &zone) override { zonesOut.erase(zone); }
 
@@ -139,13 +142,13 @@
     void onStoredObject(StoredObject object) override
     {
         largestValue = std::max(largestValue, object.value.size());
-        source.apply(object);
+        source.apply(object, Duration::zero());
     }
     void onObjectList(const std::string &, const std::set<std::string> &, std::uint64_t,
                       bool) override
     {
     }
-    void onStoreContact(StoredKind, Duration) override {}
+    void onStoreContact(StoredKind, Duration, bool) override {}
     void onStoreFailure() override { ++failures; }
 
     std::map<std::string, std::vector<std::string>> pages;
--- a/tests/platform_store_source_test.cpp
+++ b/tests/platform_store_source_test.cpp
@@ -21,11 +21,11 @@
                       bool) override
     {
     }
-    void onStoreContact(StoredKind, Duration) override {}
+    void onStoreContact(StoredKind, Duration, bool) override {}
     void onStoreFailure() override {}
     void onRoutes(RouteTable) override {}
     void onSearcher(const SearcherRecord &) override {}
-    void onSearcherRemoved(const std::string &) override {}
+    void onSearcherRemoved(const std::string &, Duration) override {}
     void onZoneOut(const std::string &) override {}
     void onZoneRestored(const std::string &) override {}
     void onRollout(const RolloutOrder &) override {}
--- a/tests/platform_store_watch_test.cpp
+++ b/tests/platform_store_watch_test.cpp
@@ -36,7 +36,7 @@
         else
             objects[object.name] = object.revision;
     }
-    void onContact() override {}
+    void onContact(bool) override {}
     void onFailure() override { ++failures; }
     void onList(const std::set<std::string> &names, std::uint64_t, bool) override
     {
--- a/tests/serving_view_test.cpp
+++ b/tests/serving_view_test.cpp
@@ -48,16 +48,28 @@
              0ms,
              {"b"}},
             {"a searcher whose entry expired is dropped at once",
-             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a"); },
+             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a", 0ms); },
              1500ms,
              {"a", "b"}},
             {"a searcher whose entry stays missing is still used",
-             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a"); },
+             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a", 0ms); },
              2000ms,
              {"b"}},
+            {"a searcher whose removal is learned late is used for the whole time",
+             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a", 1200ms); },
+             700ms,
+             {"b"}},
+            {"a searcher whose removal is learned late is dropped too early",
+             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a", 1200ms); },
+             500ms,
+             {"a", "b"}},
+            {"a searcher whose removal is learned too late is used once more",
+             [](Fixture &fixture) { fixture.builder.onSearcherRemoved("a", 5s); },
+             0ms,
+             {"b"}},
             {"a searcher whose entry was written again is dropped",
              [](Fixture &fixture) {
-                 fixture.builder.onSearcherRemoved("a");
+                 fixture.builder.onSearcherRemoved("a", 0ms);
                  fixture.advance(1000ms);
                  fixture.builder.onSearcher(searcher("desk", "a", "z0"));
              },
@@ -116,7 +128,7 @@
              [](GatewayFixture &fixture, SearcherRecord record) { fixture.add(record); }, true},
             {"an entry that expired and was written again ends the announcement",
              [](GatewayFixture &fixture, SearcherRecord record) {
-                 fixture.builder.onSearcherRemoved("a");
+                 fixture.builder.onSearcherRemoved("a", 0ms);
                  fixture.advance(2s);
                  fixture.add(record);
              },
@@ -129,7 +141,7 @@
              false},
             {"the announcement is kept over a removal and a restart",
              [](GatewayFixture &fixture, SearcherRecord record) {
-                 fixture.builder.onSearcherRemoved("a");
+                 fixture.builder.onSearcherRemoved("a", 0ms);
                  fixture.advance(2s);
                  record.bootTime = 2;
                  fixture.add(record);
--- a/tests/support/platform_simulated_fleet.h
+++ b/tests/support/platform_simulated_fleet.h
@@ -48,6 +48,7 @@
     {
         Object next = m_objects[kind][name];
         next.spec = std::move(spec);
+        next.isDeleted = false;
         change(kind, name, std::move(next));
     }
     void remove(const std::string &kind, const std::string &name)
@@ -275,7 +276,9 @@
             , membership(membershipConfig(index, incarnation), owner.timers, *this, rollouts,
                          [this] { scheduleMembers(); })
             , relay(name, owner.timers, *this,
-                    {[this](const StoredObject &object) { source.apply(object); },
+                    {[this](const StoredObject &object, Duration age) {
+                         source.apply(object, age);
+                     },
                      [this](bool isWatching, std::uint32_t substitutes) {
                          source.setWatching(isWatching, substitutes);
                      }})
@@ -298,7 +301,7 @@
 
         SimulatedFleet &fleet;
         const std::string name;
-        /// Set once restart() has replaced this process.
+        /// Set once kill() or restart() has ended this process.
         bool isRetired = false;
         ServingViewPublisher views;
         ServingViewBuilder builder;
@@ -358,21 +361,18 @@
     /// @param clockStep difference between the clocks of the host and of the fleet
     void restart(int index, Duration clockStep = {})
     {
-        std::unique_ptr<Node> &place = m_nodes.at(nameOf(index));
+        kill(nameOf(index));
+        start(index, clockStep);
+    }
+    /// Ends a daemon without notice.
+    void kill(const std::string &name)
+    {
+        std::unique_ptr<Node> &place = m_nodes.at(name);
         place->isRetired = true;
-        store.setTreatment(place->name, SimulatedStore::Treatment::Served);
+        store.setTreatment(name, SimulatedStore::Treatment::Served);
         m_retired.push_back(std::move(place));
-        m_nodes.erase(nameOf(index));
-        start(index, clockStep);
+        m_nodes.erase(name);
     }
-    /// Drops the messages from @p from to @p to.
-    void cut(const std::string &from, const std::string &to) { m_cutLinks.insert({from, to}); }
-    void advance(Duration step) { timers.advance(step); }
-
-    ManualTimerService timers;
-    SimulatedStore store;
-
-private:
     void start(int index, Duration clockStep = {})
     {
         const auto wall = timers.wallNow() + clockStep;
@@ -381,6 +381,14 @@
         m_nodes[nameOf(index)] = std::make_unique<Node>(
                 *this, index, static_cast<std::uint64_t>(incarnation.count()));
     }
+    /// Drops the messages from @p from to @p to.
+    void cut(const std::string &from, const std::string &to) { m_cutLinks.insert({from, to}); }
+    void advance(Duration step) { timers.advance(step); }
+
+    ManualTimerService timers;
+    SimulatedStore store;
+
+private:
     void deliver(const std::string &from, const std::string &to, PeerMessage message)
     {
         if (m_cutLinks.contains({from, to}))
