Send no attempt to a searcher that has gone out of use since the request started

Cause: a request pins the serving view of its start. Its retries, hedges and waits for capacity chose among the searchers of that view for up to its whole timeout, and draining, removal, an evacuation or the end of a version only changed later views.

Change: Upstream::isInUse(), which all views and running requests share, is set where the builder decides what is in a view, and availabilityOf(), through which every attempt goes, asks it. The same covers zones that are taken out, versions that are rolled back, and the earlier start of a searcher that has restarted.

--- a/include/geraniumcart/serving_view.h
+++ b/include/geraniumcart/serving_view.h
@@ -211,6 +211,8 @@
     /// @return the state of the searcher of @p record that was removed while it was about to stop;
     /// a new state if there is none
     std::shared_ptr<Upstream> makeUpstream(const SearcherRecord &record);
+    /// @return true if the searcher may get requests, whichever routes are in force
+    bool isInUse(const SearcherRecord &record) const;
     /// Publishes a view after the current turn of the event loop.
     void schedulePublish();
     void publish();
--- a/include/geraniumcart/upstream.h
+++ b/include/geraniumcart/upstream.h
@@ -91,6 +91,11 @@
     bool clearRateLimit(TimePoint sentAt);
     /// Changes this daemon's part in the limit, if there is one.
     void setRatePart(TimePoint now, double part);
+    /// Records whether the searcher may get requests: not once it drains or its entry is gone, nor
+    /// while its availability zone or version is out of use. Requests that have started before
+    /// learn it with their next attempt.
+    void setInUse(bool isInUse) { m_isInUse.store(isInUse, std::memory_order_relaxed); }
+    bool isInUse() const { return m_isInUse.load(std::memory_order_relaxed); }
     /// Records that another searcher answered at this address.
     void markReplaced() { m_isReplaced.store(true, std::memory_order_relaxed); }
 
@@ -168,6 +173,7 @@
     /// Maximum number of requests in flight after a pause; 0 if there is no limit.
     std::atomic<std::uint32_t> m_rampLimit{0};
     std::atomic<bool> m_isReplaced{false};
+    std::atomic<bool> m_isInUse{true};
     /// Requests per second that the searcher takes from all daemons; negative if it states no
     /// limit.
     std::atomic<double> m_rateLimit{-1};
--- a/include/geraniumcart/upstream_choice.h
+++ b/include/geraniumcart/upstream_choice.h
@@ -62,11 +62,13 @@
     /// The searcher has announced that it is about to stop. It may get a request only if no other
     /// searcher of its service may.
     LastResort,
-    /// Another searcher is at its address, it asked for a pause, or it announced its stop too long
-    /// ago.
+    /// It drains, has left or is out of use with its availability zone or version, another searcher
+    /// is at its address, it asked for a pause, or it announced its stop too long ago.
     None,
 };
 
+/// Whether a searcher may get a request now. Every attempt of a request asks this anew, since a
+/// request keeps the searchers of its start for its whole timeout.
 /// @param leavingUse time for which a searcher still serves after it has announced its stop
 Availability availabilityOf(const Upstream &upstream, TimePoint now, Duration leavingUse);
 
--- a/src/request/upstream_choice.cpp
+++ b/src/request/upstream_choice.cpp
@@ -80,7 +80,7 @@
 
 Availability availabilityOf(const Upstream &upstream, TimePoint now, Duration leavingUse)
 {
-    if (upstream.isReplaced() || now < upstream.usableFrom())
+    if (!upstream.isInUse() || upstream.isReplaced() || now < upstream.usableFrom())
         return Availability::None;
     const auto leavingSince = upstream.leavingSince();
     if (!leavingSince)
--- a/src/version/serving_view.cpp
+++ b/src/version/serving_view.cpp
@@ -66,9 +66,11 @@
     const bool isNew = !entry.upstream || !isSameUpstream(entry.record, record);
     const bool wasDraining = entry.record.isDraining;
     entry.record = record;
-    if (isNew)
+    if (isNew) {
+        if (entry.upstream)
+            entry.upstream->setInUse(false);
         entry.upstream = makeUpstream(record);
-    else if (wasDraining && !record.isDraining)
+    } else if (wasDraining && !record.isDraining)
         entry.upstream->clearLeaving();
     if (record.remainingWarmUp > Duration::zero())
         entry.upstream->setColdUntil(m_timers.now() + record.remainingWarmUp);
@@ -98,6 +100,8 @@
 void ServingViewBuilder::remove(const std::string &instanceId)
 {
     auto node = m_searchers.extract(instanceId);
+    if (node)
+        node.mapped().upstream->setInUse(false);
     if (node && node.mapped().upstream->leavingSince()) {
         Entry &removed = m_removedLeaving[instanceId];
         if (removed.removal != 0)
@@ -178,6 +182,14 @@
     });
 }
 
+bool ServingViewBuilder::isInUse(const SearcherRecord &record) const
+{
+    if (record.isDraining || m_zonesOut.contains(record.zone))
+        return false;
+    const auto division = m_divisions.find(record.service);
+    return division == m_divisions.end() || division->second.hasShare(record.version);
+}
+
 void ServingViewBuilder::schedulePublish()
 {
     // All changes that arrive in one turn of the event loop are published together.
@@ -223,9 +235,8 @@
     }
     for (const auto &[instanceId, entry] : m_searchers) {
         const auto service = view.services.find(entry.record.service);
-        if (service == view.services.end() || entry.record.isDraining ||
-            m_zonesOut.contains(entry.record.zone) ||
-            !service->second.division.hasShare(entry.record.version))
+        entry.upstream->setInUse(isInUse(entry.record));
+        if (service == view.services.end() || !entry.upstream->isInUse())
             continue;
         if (const auto limit = entry.upstream->rateLimit())
             entry.upstream->setRatePart(view.publishedAt,
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -275,6 +275,78 @@
     CHECK(fixture.answers[0].retryAfter > Duration::zero());
 }
 
+// Guards against late attempts of a request that reach a searcher which has drained, left or gone
+// out of use since the request started, and are lost with it.
+TEST_CASE("no attempt uses a searcher that has gone out of use since the request started")
+{
+    using Step = std::function<void(GatewayFixture &)>;
+    const auto record = [] {
+        SearcherRecord other = searcher("desk", "b", "z1");
+        other.version = "v2";
+        return other;
+    };
+    const auto [failure, end, isInUse] = GENERATE_COPY(table<const char *, Step, bool>({
+            {"a searcher in use gets no further attempt", [](GatewayFixture &) {}, true},
+            {"a draining searcher gets an attempt",
+             [=](GatewayFixture &f) {
+                 SearcherRecord draining = record();
+                 draining.isDraining = true;
+                 f.builder.onSearcher(draining);
+             },
+             false},
+            {"a searcher whose entry is gone gets an attempt",
+             [](GatewayFixture &f) { f.builder.onSearcherRemoved("b", 5s); }, false},
+            {"a searcher of a zone that is out gets an attempt",
+             [](GatewayFixture &f) { f.builder.onZoneOut("z1"); }, false},
+            {"a searcher of a zone that is back gets no attempt",
+             [](GatewayFixture &f) {
+                 f.builder.onZoneOut("z1");
+                 f.advance(0ms);
+                 f.builder.onZoneRestored("z1");
+             },
+             true},
+            {"a searcher of a version that was rolled back gets an attempt",
+             [](GatewayFixture &f) {
+                 f.builder.setDivisions({{"desk", {"v2", 0, nullptr, nullptr}}});
+             },
+             false},
+            {"the earlier start of a restarted searcher gets an attempt",
+             [=](GatewayFixture &f) {
+                 SearcherRecord restarted = record();
+                 restarted.bootTime = 2;
+                 f.builder.onSearcher(restarted);
+             },
+             false},
+    }));
+    enum class Cause { Retry, Hedge, Capacity };
+    const auto cause = GENERATE(Cause::Retry, Cause::Hedge, Cause::Capacity);
+    INFO(failure << ", cause " << static_cast<int>(cause));
+    GatewayFixture fixture({plainRoute()});
+    fixture.add(searcher("desk", "a", "z0"));
+    fixture.add(record());
+    fixture.transport.full = {"b"};
+    if (cause == Cause::Capacity)
+        fixture.transport.full.insert("a");
+    fixture.request("/plain/1");
+    end(fixture);
+    fixture.advance(0ms);
+    fixture.transport.full.erase("b");
+    if (cause == Cause::Retry)
+        fixture.transport.fail(0, ExchangeFailure::Lost);
+    fixture.advance(500ms);
+    std::vector<std::string> instances;
+    for (std::size_t i = 0; i < fixture.transport.sent.size(); ++i)
+        instances.push_back(fixture.transport.instance(i));
+    CHECK((std::ranges::count(instances, "b") > 0) == isInUse);
+    // The request goes on waiting for the searcher that is left.
+    if (cause == Cause::Capacity && !isInUse) {
+        fixture.transport.full.clear();
+        fixture.advance(100ms);
+        CHECK(fixture.transport.sent.size() == 1);
+        CHECK(fixture.transport.instance(0) == "a");
+    }
+}
+
 // Guards against a count of requests in flight that stays too high, which makes an idle searcher
 // look busy and silent, so that its service is refused requests for good.
 TEST_CASE("no request stays in flight after its end")
