--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -253,13 +253,14 @@
     CHECK(directory.body().find(fixture.callerEndpoint) != std::string::npos);
     const HttpResponse metrics =
             fixture.call(fixture.metricsEndpoint, HttpRequest(http::verb::get, "/metrics", 11));
-    for (const char *line :
-         {"geraniumcart_searchers{service=\"desk\"} 2",
-          "geraniumcart_store_calls_total{kind=\"searchers\",result=\"answered\"} ",
-          "geraniumcart_searcher_connections{state=\"idle\"} ",
-          "geraniumcart_fleet_state_age_seconds 0.",
-          "geraniumcart_store_answer_age_seconds{kind=\"rollouts\"} ",
-          "geraniumcart_request_queue_seconds_count{tenant=\"127.0.0.1\",class=\"all\"} 1"}) {
+    for (const std::string &line : std::vector<std::string>{
+                 "geraniumcart_searchers{service=\"desk\"} 2",
+                 "geraniumcart_store_calls_total{kind=\"searchers\",result=\"answered\"} ",
+                 "geraniumcart_searcher_connections{state=\"idle\"} ",
+                 "geraniumcart_fleet_state_age_seconds 0.",
+                 "geraniumcart_store_answer_age_seconds{kind=\"rollouts\"} ",
+                 "geraniumcart_request_queue_seconds_count{tenant=\"" + Host +
+                         "\",class=\"all\"} 1"}) {
         INFO(line);
         CHECK(metrics.body().find(line) != std::string::npos);
     }
