End an exchange with an answer whose status is none

A searcher in trouble that answers with the status 000 made callers wait: the answer counted as an interim one and was dropped, and the attempt went on until the time of the request had passed, though the searcher was done. The next answer on the connection could count as its own. Statuses from 600 to 999 were passed on to callers.

Cause: three readers of answers compared the status with 200 alone; the parser accepts any three digits.

Change: statusKindOf() names interim, final and no statuses by RFC 9110, section 15, once for the platform's reader, the product's searcher connection and the HTTP client of the store. An answer whose status is none is malformed as soon as its status line is read, so that the request is repeated elsewhere, or answered with 502.

--- a/src/connection/answer_reader.cpp
+++ b/src/connection/answer_reader.cpp
@@ -1,5 +1,6 @@
 #include "connection/answer_reader_p.h"
 
+#include "connection/answer_status_p.h"
 #include "connection/forwarded_headers_p.h"
 
 #include <geraniumcart/config.h>
@@ -30,8 +31,6 @@
 /// Maximum number of interim answers and late answers to earlier requests before an answer. A
 /// searcher sends one or two at most.
 constexpr std::uint32_t MaxSkippedMessages = 8;
-/// Lowest status of an answer that is not an interim one.
-constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned MisdirectedRequest = 421;
 constexpr unsigned ServiceUnavailable = 503;
 /// Value of the field in which a searcher announces that it is about to stop.
@@ -111,9 +110,11 @@
                          error_code &) override
     {
     }
-    void on_response_impl(int status, beast::string_view reason, int, error_code &) override
+    void on_response_impl(int status, beast::string_view reason, int, error_code &error) override
     {
         reply.status = static_cast<std::uint32_t>(status);
+        if (statusKindOf(reply.status) == StatusKind::None)
+            error = http::error::bad_status;
         reply.reason = view(reason);
         reply.isNotRun = reply.isOtherInstance = reply.status == MisdirectedRequest;
     }
@@ -271,7 +272,7 @@
 
 AnswerReader::Progress AnswerReader::onMessage()
 {
-    const bool isInterim = m_parser->reply.status < FirstFinalStatus;
+    const bool isInterim = statusKindOf(m_parser->reply.status) == StatusKind::Interim;
     // A late answer to an earlier request may arrive before the answer to the current one.
     const bool isOther = !isInterim && m_parser->requestId != m_requestId &&
                          (m_parser->reply.isSuccess() || !m_parser->requestId.empty());
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,5 +1,7 @@
 #include "connection/http_client_p.h"
 
+#include "connection/answer_status_p.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -28,8 +30,6 @@
 /// Maximum size of a response's header, a chunk's header or the trailers, which are parsed only as
 /// a whole.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
-/// Lowest status of a response that is not an interim one.
-constexpr unsigned FirstFinalStatus = 200;
 
 } // namespace
 
@@ -195,7 +195,8 @@
                                  return;
                              // The request asks for no interim response, which the client would
                              // have to skip without a bound.
-                             if (!error && self->m_parser->get().result_int() < FirstFinalStatus)
+                             if (!error && statusKindOf(self->m_parser->get().result_int()) !=
+                                                   StatusKind::Final)
                                  error = http::error::bad_status;
                              if (error)
                                  self->finish(HttpFailure::ResponseLost, {}, error);
--- a/src/connection/searcher_connection.cpp
+++ b/src/connection/searcher_connection.cpp
@@ -1,5 +1,7 @@
 #include "connection/searcher_connection_p.h"
 
+#include "connection/answer_status_p.h"
+
 #include <geraniumcart/config.h>
 
 #include <boost/asio/buffer.hpp>
@@ -77,9 +79,12 @@
                          error_code &) override
     {
     }
-    void on_response_impl(int code, beast::string_view, int, error_code &) override
+    void on_response_impl(int code, beast::string_view, int, error_code &error) override
     {
         m_answer.status = static_cast<std::uint16_t>(code);
+        // Requests never ask for an interim answer, so one violates the protocol.
+        if (statusKindOf(m_answer.status) != StatusKind::Final)
+            error = http::error::bad_status;
     }
     void on_field_impl(http::field field, beast::string_view name, beast::string_view value,
                        error_code &error) override
@@ -318,9 +323,6 @@
 
     bool isValid()
     {
-        // Requests never ask for an interim (1xx) answer, so one violates the protocol.
-        if (m_answer.status < 200)
-            return false;
         if (!isSubRequest())
             return true;
         if (m_answer.requestId != m_id || m_answer.shard.value_or(m_shard) != m_shard)
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -306,6 +306,7 @@
              Mode::ResetsConnection, 502, 1},
             {"a truncated answer is forwarded as complete", Mode::TruncatesAnswer, 502, 1},
             {"a request to a silent searcher is sent again", Mode::Silent, 504, 1},
+            {"a status that is none is passed on, or waited out", Mode::InvalidStatus, 502, 1},
             {"a full searcher's refusal does not count as proof that the request did not run",
              Mode::Full, 503, 2},
             {"another searcher at the address runs the request", Mode::OtherInstance, 503, 2},
@@ -332,6 +333,7 @@
             {"a shard that refuses the request counts as present", Mode::Full},
             {"a shard that resets connections counts as present", Mode::ResetsConnection},
             {"a truncated answer is merged", Mode::TruncatesAnswer},
+            {"an answer whose status is none is merged", Mode::InvalidStatus},
             {"the gateway waits for a silent shard beyond the latency objective", Mode::Silent},
     }));
     INFO(failure);
--- a/tests/support/platform_standins.h
+++ b/tests/support/platform_standins.h
@@ -168,6 +168,8 @@
         TruncatesAnswer,
         /// Answers that another instance runs at the address.
         OtherInstance,
+        /// Answers with the status 000 and is done.
+        InvalidStatus,
         /// Refuses each request with 503 and asks for no further one for two seconds.
         Pausing,
         /// Serves and announces in each answer that it is about to stop.
@@ -223,6 +225,8 @@
             return {""};
         case Mode::TruncatesAnswer:
             return {response.substr(0, response.size() - 3), RawAnswer::Then::Close};
+        case Mode::InvalidStatus:
+            return {"HTTP/1.1 000 Trouble" + response.substr(response.find("\r\n"))};
         case Mode::OtherInstance:
             return {"HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n"};
         }
