Bound the open answers of all searchers on the product's protocol

Operators of similar systems report a searcher that sent bytes without end until the machine that had called it ran out of memory. On the product's own protocol this could happen: each answer was bounded to 4 MB, all answers of a worker together were not.

Cause: the account of a worker's open answers belonged to the reader of the platform's path only.

Change: OpenAnswerBytes counts the body of one unfinished answer in the account of its worker, for both readers, and takes it out however the answer ends. A searcher connection that ends releases the memory of its answer.

--- a/fuzz/answer_target.h
+++ b/fuzz/answer_target.h
@@ -61,7 +61,7 @@
     OpenAnswers openAnswers;
     const AnswerOutcome whole =
             readAnswer(bytes, std::max<std::size_t>(bytes.size(), 1), openAnswers);
-    if (openAnswers.bytes != 0)
+    if (openAnswers.bytes() != 0)
         return "the bytes of an answer are released with it";
     if (whole.reply.body.size() > MaxAnswerBytes)
         return "a body is not larger than allowed";
--- a/src/connection/answer_reader.cpp
+++ b/src/connection/answer_reader.cpp
@@ -91,16 +91,12 @@
 public:
     Parser(const UpstreamHeaderNames &names, OpenAnswers &openAnswers)
         : m_names(names)
-        , m_openAnswers(openAnswers)
+        , m_bytes(openAnswers)
     {
         header_limit(MaxHeadBytes);
         body_limit(MaxAnswerBytes);
         eager(true);
     }
-    ~Parser() override { m_openAnswers.bytes -= m_bodyBytes; }
-    Parser(const Parser &) = delete;
-    Parser &operator=(const Parser &) = delete;
-
     UpstreamReply reply;
     std::string requestId;
     std::optional<Duration> keepAliveTime;
@@ -172,21 +168,16 @@
 
     std::size_t append(beast::string_view body, error_code &error)
     {
-        const std::size_t size = m_bodyBytes + body.size();
-        const bool isWorkerFull = m_openAnswers.bytes + body.size() > MaxOpenAnswersBytes;
-        if (size > MaxAnswerBytes || (isWorkerFull && size > SmallAnswerBytes)) {
+        if (!m_bytes.tryAdd(body.size())) {
             error = http::error::body_limit;
             return 0;
         }
         reply.body.append(body.data(), body.size());
-        m_bodyBytes = size;
-        m_openAnswers.bytes += body.size();
         return body.size();
     }
 
     const UpstreamHeaderNames &m_names;
-    OpenAnswers &m_openAnswers;
-    std::size_t m_bodyBytes = 0;
+    OpenAnswerBytes m_bytes;
 };
 
 AnswerReader::AnswerReader(const UpstreamHeaderNames &names, OpenAnswers &openAnswers)
--- a/src/connection/answer_reader_p.h
+++ b/src/connection/answer_reader_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "connection/open_answers_p.h"
+
 #include <geraniumcart/exchange.h>
 #include <geraniumcart/timer_service.h>
 
@@ -30,12 +32,6 @@
     std::string rateLimit;
 };
 
-/// Bytes of the unfinished answers of one worker, for MaxOpenAnswersBytes.
-struct OpenAnswers
-{
-    std::size_t bytes = 0;
-};
-
 /// Reads the answers to the requests on one connection to a searcher from the received bytes,
 /// without a socket. What it keeps of an answer is bounded, whatever the searcher sends.
 class AnswerReader
--- a/src/connection/answer_status_p.h
+++ b/src/connection/answer_status_p.h
@@ -9,7 +9,8 @@
     /// Another answer to the same request follows.
     Interim,
     Final,
-    /// No answer has this status: it is not in 100 to 599, or it is 101, which answers only requests
+    /// No answer has this status: it is not in 100 to 599, or it is 101, which answers only
+    /// requests
     /// that ask for another protocol.
     None,
 };
--- a/src/connection/direct_sender.cpp
+++ b/src/connection/direct_sender.cpp
@@ -36,7 +36,8 @@
             pool->configure(searcher.limits, searcher.share);
             continue;
         }
-        const SearcherPool::Context context{m_worker.context, m_worker.timers, *this, m_counters};
+        const SearcherPool::Context context{m_worker.context, m_worker.timers, *this, m_counters,
+                                            m_openAnswers};
         pool = std::make_unique<SearcherPool>(context, searcher.state, searcher.limits,
                                               searcher.share);
     }
--- a/src/connection/direct_sender_p.h
+++ b/src/connection/direct_sender_p.h
@@ -60,6 +60,7 @@
     WorkerPool &m_workers;
     Worker &m_worker;
     UpstreamCounters &m_counters;
+    OpenAnswers m_openAnswers;
     std::unordered_map<const UpstreamState *, std::unique_ptr<SearcherPool>> m_pools;
     /// Pools of removed searchers that still have a connection in use.
     std::vector<std::unique_ptr<SearcherPool>> m_retiring;
--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace geraniumcart {
 
 namespace asio = boost::asio;
@@ -17,6 +19,9 @@
 /// Limit on the bytes queued for one peer. A peer that does not read would otherwise make this
 /// daemon buffer frames without bound.
 constexpr std::size_t MaxQueuedBytes = 2 * MaxFrameBytes;
+/// Memory that is reserved for a frame before the next part of its bytes arrives. Whatever listens
+/// at an address that a peer had may announce the largest frame on every connection.
+constexpr std::size_t BodyGrowth = 64 * 1024;
 
 } // namespace
 
@@ -115,17 +120,26 @@
 
 void FrameConnection::readBody(std::uint32_t length)
 {
-    m_body.resize(length);
-    asio::async_read(
-            m_socket, asio::buffer(m_body),
-            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                if (!self->m_open)
-                    return;
-                if (error)
-                    self->fail(FrameError::None, error.message());
-                else
-                    self->onBody();
-            });
+    m_body.clear();
+    readMore(length);
+}
+
+void FrameConnection::readMore(std::uint32_t length)
+{
+    const std::size_t start = m_body.size();
+    m_body.resize(std::min<std::size_t>(length, start + BodyGrowth));
+    asio::async_read(m_socket, asio::buffer(m_body) + start,
+                     [self = shared_from_this(), length](const boost::system::error_code &error,
+                                                         std::size_t) {
+                         if (!self->m_open)
+                             return;
+                         if (error)
+                             self->fail(FrameError::None, error.message());
+                         else if (self->m_body.size() < length)
+                             self->readMore(length);
+                         else
+                             self->onBody();
+                     });
 }
 
 void FrameConnection::onBody()
--- a/src/connection/frame_connection_p.h
+++ b/src/connection/frame_connection_p.h
@@ -63,6 +63,8 @@
 private:
     void readPrefix();
     void readBody(std::uint32_t length);
+    /// Reads the next part of a frame of @p length bytes.
+    void readMore(std::uint32_t length);
     void onBody();
     void write();
     void fail(FrameError error, std::string reason);
--- a/src/connection/searcher_connection.cpp
+++ b/src/connection/searcher_connection.cpp
@@ -14,6 +14,7 @@
 
 #include <charconv>
 #include <cstring>
+#include <utility>
 #include <vector>
 
 namespace geraniumcart {
@@ -66,8 +67,9 @@
 class AnswerParser final : public http::basic_parser<false>
 {
 public:
-    explicit AnswerParser(UpstreamAnswer &answer)
+    AnswerParser(UpstreamAnswer &answer, OpenAnswers &openAnswers)
         : m_answer(answer)
+        , m_bytes(openAnswers)
     {
         header_limit(MaxHeadBytes);
         body_limit(MaxAnswerBytes);
@@ -99,18 +101,27 @@
         if (length)
             m_answer.body.reserve(std::min<std::uint64_t>(*length, MaxBodyReserve));
     }
-    std::size_t on_body_impl(beast::string_view body, error_code &) override
+    std::size_t on_body_impl(beast::string_view body, error_code &error) override
     {
-        m_answer.body.append(body.data(), body.size());
-        return body.size();
+        return append(body, error);
     }
     void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code &) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, error_code &) override
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
+                                   error_code &error) override
+    {
+        return append(body, error);
+    }
+    void on_finish_impl(error_code &) override {}
+
+    std::size_t append(beast::string_view body, error_code &error)
     {
+        if (!m_bytes.tryAdd(body.size())) {
+            error = http::error::body_limit;
+            return 0;
+        }
         m_answer.body.append(body.data(), body.size());
         return body.size();
     }
-    void on_finish_impl(error_code &) override {}
 
     bool readField(std::string_view name, std::string_view value)
     {
@@ -154,6 +165,7 @@
     }
 
     UpstreamAnswer &m_answer;
+    OpenAnswerBytes m_bytes;
 };
 
 /// Handler that makes Boost.JSON's parser validate a text without storing its values. Boost.JSON
@@ -202,8 +214,9 @@
 public:
     enum class State : std::uint8_t { NeedMore, Done, Malformed };
 
-    explicit Codec(const std::string &address)
-        : m_host(" HTTP/1.1\r\nHost: " + address + "\r\n")
+    Codec(const std::string &address, OpenAnswers &openAnswers)
+        : m_openAnswers(openAnswers)
+        , m_host(" HTTP/1.1\r\nHost: " + address + "\r\n")
         , m_buffer(ReadBufferBytes)
         , m_json(jsonOptions())
     {
@@ -254,7 +267,14 @@
     void expectAnswer()
     {
         m_answer = UpstreamAnswer();
-        m_parser.emplace(m_answer);
+        m_parser.emplace(m_answer, m_openAnswers);
+    }
+    /// Drops an answer in progress.
+    void stop()
+    {
+        m_parser.reset();
+        // Unlike an assignment, a move releases the memory of the body.
+        takeAnswer();
     }
     bool isExpectingAnswer() const { return m_parser.has_value(); }
 
@@ -301,7 +321,7 @@
         return error ? State::NeedMore : finishIfDone();
     }
 
-    UpstreamAnswer &answer() { return m_answer; }
+    UpstreamAnswer takeAnswer() { return std::move(m_answer); }
     /// True if no further exchange can follow, because the searcher announced or performed the
     /// close of the connection, or sent bytes after the answer.
     bool isLast() const { return m_isLast || m_filled > 0; }
@@ -338,6 +358,7 @@
         return !error && used == text.size() && m_json.done();
     }
 
+    OpenAnswers &m_openAnswers;
     const std::string m_host;
     std::string m_head;
     UpstreamCall m_call = UpstreamCall::Info;
@@ -352,10 +373,11 @@
 };
 
 SearcherConnection::SearcherConnection(asio::io_context &context, const std::string &address,
+                                       OpenAnswers &openAnswers,
                                        SearcherConnectionListener &listener)
     : m_socket(context.get_executor())
     , m_listener(&listener)
-    , m_codec(std::make_unique<Codec>(address))
+    , m_codec(std::make_unique<Codec>(address, openAnswers))
 {
 }
 
@@ -424,6 +446,7 @@
 void SearcherConnection::close()
 {
     m_listener = nullptr;
+    m_codec->stop();
     error_code ignored;
     m_socket.close(ignored);
 }
@@ -455,9 +478,10 @@
         // If the answer arrived before the request was completely written, the searcher may leave
         // the rest of the request unread, so the connection cannot be reused.
         const bool isLast = m_codec->isLast() || m_isWriting;
+        UpstreamAnswer answer = m_codec->takeAnswer();
         if (isLast)
             close();
-        listener->onAnswer(*this, m_codec->answer(), isLast);
+        listener->onAnswer(*this, answer, isLast);
         if (!m_listener)
             return;
     } else if (error) {
--- a/src/connection/searcher_connection_p.h
+++ b/src/connection/searcher_connection_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "connection/open_answers_p.h"
+
 #include <geraniumcart/sub_request.h>
 
 #include <boost/asio/io_context.hpp>
@@ -85,8 +87,9 @@
 class SearcherConnection : public std::enable_shared_from_this<SearcherConnection>
 {
 public:
+    /// @param openAnswers must outlive the connection until close() or its end
     SearcherConnection(boost::asio::io_context &context, const std::string &address,
-                       SearcherConnectionListener &listener);
+                       OpenAnswers &openAnswers, SearcherConnectionListener &listener);
     ~SearcherConnection();
 
     /// Starts to connect; onOpen() or onOpenFailed() follows.
--- a/src/connection/searcher_pool.cpp
+++ b/src/connection/searcher_pool.cpp
@@ -220,8 +220,8 @@
             return;
         }
         auto link = std::make_unique<Link>();
-        link->connection =
-                std::make_shared<SearcherConnection>(m_context.io, m_state->address(), *this);
+        link->connection = std::make_shared<SearcherConnection>(m_context.io, m_state->address(),
+                                                                m_context.openAnswers, *this);
         link->since = now;
         link->connection->open(*m_endpoint);
         m_links.push_back(std::move(link));
--- a/src/connection/searcher_pool_p.h
+++ b/src/connection/searcher_pool_p.h
@@ -70,6 +70,8 @@
         TimerService &timers;
         SearcherPoolListener &poolListener;
         UpstreamCounters &counters;
+        /// Answers of all searchers of the home worker.
+        OpenAnswers &openAnswers;
     };
 
     SearcherPool(const Context &context, std::shared_ptr<UpstreamState> state,
--- a/src/connection/upstream_connections_p.h
+++ b/src/connection/upstream_connections_p.h
@@ -129,8 +129,8 @@
     /// @return an idle connection for a request with this id; null if there is none
     LinkEntry *idleLink(const Upstream &upstream, const std::string &requestId);
     LinkEntry &openLink(const std::shared_ptr<Upstream> &upstream, OpenCause cause);
-    /// Writes the entry's request to its open connection. If that is not possible, the exchange ends
-    /// after this returns.
+    /// Writes the entry's request to its open connection. If that is not possible, the exchange
+    /// ends after this returns.
     void write(LinkEntry &entry);
     /// Returns the entry of @p link, or null if it has been removed.
     LinkEntry *entryOf(const UpstreamLink &link);
--- a/tests/answer_status_test.cpp
+++ b/tests/answer_status_test.cpp
@@ -111,8 +111,9 @@
         return RawAnswer{headOf(status.text, "Content-Length: 2\r\n") + "{}"};
     });
     EndListener listener;
+    OpenAnswers openAnswers;
     const auto connection =
-            std::make_shared<SearcherConnection>(context, server.address(), listener);
+            std::make_shared<SearcherConnection>(context, server.address(), openAnswers, listener);
     connection->open(server.endpoint());
     const auto end = std::chrono::steady_clock::now() + TestTimeout;
     while (!listener.status && !listener.loss && std::chrono::steady_clock::now() < end)
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -3,6 +3,7 @@
 #include "support/raw_server.h"
 
 #include "connection/http_client_p.h"
+#include "connection/searcher_connection_p.h"
 #include "connection/upstream_connections_p.h"
 #include "process/asio_timer_service_p.h"
 
@@ -67,6 +68,29 @@
     std::optional<ExchangeFailure> failure;
 };
 
+/// Sends one search on each connection of the product's own protocol and counts how they end.
+struct SearchSender final : SearcherConnectionListener
+{
+    void onOpen(SearcherConnection &connection) override
+    {
+        UpstreamMessage message;
+        message.call = UpstreamCall::Search;
+        message.id = 7;
+        connection.start(message);
+    }
+    void onOpenFailed(SearcherConnection &, bool) override { FAIL("not connected"); }
+    void onAnswer(SearcherConnection &, UpstreamAnswer &, bool) override { ++answers; }
+    void onLost(SearcherConnection &, ConnectionLoss loss) override
+    {
+        malformed += loss == ConnectionLoss::Malformed ? 1 : 0;
+        ++ended;
+    }
+
+    std::size_t answers = 0;
+    std::size_t malformed = 0;
+    std::size_t ended = 0;
+};
+
 /// Connections of one worker to an endless server and to one that answers.
 struct Fixture
 {
@@ -210,6 +234,44 @@
     CHECK(peak - before < 2 * MaxOpenAnswersBytes + Searchers * 2 * SmallAnswerBytes);
 }
 
+// Guards against the same searchers on the product's own protocol.
+TEST_CASE("endless answers to sub-requests together are bounded")
+{
+    constexpr std::size_t Searchers = 60;
+    const std::string own = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n";
+    const auto [what, start,
+                repeated] = GENERATE_COPY(table<const char *, std::string, std::string>({
+            {"a body without a length", own + "\r\n", "x"},
+            {"chunks", own + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+            {"a field line", own + "X: ", "y"},
+            {"field lines", own, "X: y\r\n"},
+            {"a chunk extension", own + "Transfer-Encoding: chunked\r\n\r\n5;a=", "b"},
+    }));
+    INFO(what);
+    boost::asio::io_context context;
+    OpenAnswers openAnswers;
+    SearchSender sender;
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    std::vector<std::shared_ptr<SearcherConnection>> connections;
+    const std::size_t before = ::mallinfo2().uordblks;
+    for (std::size_t i = 0; i < Searchers; ++i) {
+        servers.push_back(std::make_unique<EndlessServer>(context, start, repeated, 0ms));
+        connections.push_back(std::make_shared<SearcherConnection>(context, servers[i]->address(),
+                                                                   openAnswers, sender));
+        connections.back()->open(servers[i]->endpoint());
+    }
+    std::size_t peak = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    while (sender.ended < Searchers && std::chrono::steady_clock::now() - begin < 10s) {
+        context.run_one_for(10ms);
+        peak = std::max<std::size_t>(peak, ::mallinfo2().uordblks);
+    }
+    CHECK(sender.malformed == Searchers);
+    CHECK(openAnswers.bytes() == 0);
+    // Strings may have twice the capacity of their size.
+    CHECK(peak - before < 2 * MaxOpenAnswersBytes + Searchers * 2 * SmallAnswerBytes);
+}
+
 // Guards against a store whose answers never end, which would occupy the control thread, fill the
 // memory or keep the call open.
 TEST_CASE("bytes of a store that are no answer end the call within its time")
--- a/tests/searcher_pool_test.cpp
+++ b/tests/searcher_pool_test.cpp
@@ -34,7 +34,8 @@
 public:
     explicit Fixture(const std::string &address, std::uint32_t slots = 2)
         : state(std::make_shared<UpstreamState>(address))
-        , pool({io, timers, *this, counters}, state, {.slots = slots, .warmUp = WarmUp}, {})
+        , pool({io, timers, *this, counters, openAnswers}, state,
+               {.slots = slots, .warmUp = WarmUp}, {})
     {
     }
     void onAnswered(PoolRequest request, SubRequestAnswer) override { end(request.id, "answered"); }
@@ -95,6 +96,7 @@
     boost::asio::io_context io;
     ManualTimerService timers;
     UpstreamCounters counters;
+    OpenAnswers openAnswers;
     std::map<SubRequestId, std::string> ends;
     SubRequestId lastId = 1000;
     std::shared_ptr<UpstreamState> state;
@@ -362,7 +364,9 @@
     boost::asio::io_context io;
     Tcp::acceptor acceptor(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     Listener listener;
-    const auto connection = std::make_shared<SearcherConnection>(io, "searcher", listener);
+    OpenAnswers openAnswers;
+    const auto connection =
+            std::make_shared<SearcherConnection>(io, "searcher", openAnswers, listener);
     connection->open(acceptor.local_endpoint());
     Tcp::socket peer = acceptor.accept();
     while (!listener.isOpen)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,6 +3,7 @@
 // Exits with 1 if a guarantee was violated, and prints the seed. It sends signals only to the
 // processes that it started, by process id.
 
+#include "gateway_process.h"
 #include "guarantee_checker.h"
 #include "soak_searcher.h"
 #include "support/platform_standins.h"
@@ -21,7 +22,6 @@
 #include <iostream>
 #include <random>
 #include <set>
-#include <spawn.h>
 #include <sys/wait.h>
 
 using namespace geraniumcart;
@@ -207,42 +207,22 @@
     void writeSettings(const Gateway &gateway)
     {
         const std::size_t index = std::stoul(gateway.name.substr(1));
-        const json::object settings{
-                {"name", gateway.name},
-                {"availabilityZone", "z"},
-                {"callerAddress", gateway.callerAddress},
-                {"directoryAddress", freeAddress()},
-                {"readyAddress", freeAddress()},
-                {"metricsAddress", freeAddress()},
-                {"peerAddress", m_peers[index]},
-                {"storeAddress", gateway.storeProxy.address()},
-                {"seeds", m_peers},
-                {"cores", 1},
-                {"processorShare", 1},
-                {"retryShare", 0.2},
-                {"retryExtra", 50},
-                {"retryWindowSeconds", 10},
-                {"firstStart", false},
-                {"searcherDrainMs", 3000},
-                {"stopGraceSeconds", StopGrace.count()},
-                {"entriesValidSeconds", 2},
-                {"callerRoundTripMs", 0},
-        };
+        json::object settings = commonSettings();
+        settings["name"] = gateway.name;
+        settings["callerAddress"] = gateway.callerAddress;
+        settings["directoryAddress"] = freeAddress();
+        settings["readyAddress"] = freeAddress();
+        settings["metricsAddress"] = freeAddress();
+        settings["peerAddress"] = m_peers[index];
+        settings["storeAddress"] = gateway.storeProxy.address();
+        settings["seeds"] = m_peers;
+        settings["stopGraceSeconds"] = StopGrace.count();
         std::ofstream(gateway.settingsFile) << json::serialize(settings);
     }
 
     void start(Gateway &gateway)
     {
-        const std::string variable = "GERANIUMCART_NODE_FILE=" + gateway.settingsFile;
-        char *const environment[] = {const_cast<char *>(variable.c_str()), nullptr};
-        char *const arguments[] = {const_cast<char *>(m_options.program.c_str()), nullptr};
-        posix_spawn_file_actions_t actions;
-        ::posix_spawn_file_actions_init(&actions);
-        for (const int descriptor : {STDOUT_FILENO, STDERR_FILENO})
-            ::posix_spawn_file_actions_addopen(&actions, descriptor, gateway.logFile.c_str(),
-                                               O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::posix_spawn(&gateway.process, arguments[0], &actions, nullptr, arguments, environment);
-        ::posix_spawn_file_actions_destroy(&actions);
+        gateway.process = startGateway(m_options.program, gateway.settingsFile, gateway.logFile);
         gateway.isStopping = gateway.isPaused = false;
         gateway.isUndisturbed = true;
     }
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -43,6 +43,8 @@
     }
     /// Number of connections that the peer has not closed.
     int open() const { return m_open; }
+    /// Number of connections that were accepted.
+    int accepted() const { return m_accepted; }
 
 private:
     struct Session
@@ -64,6 +66,7 @@
             if (error)
                 return;
             ++m_open;
+            ++m_accepted;
             const auto session = std::make_shared<Session>(std::move(socket));
             session->socket.async_read_some(
                     boost::asio::buffer(session->request),
@@ -96,6 +99,7 @@
     std::string m_repeated;
     const std::chrono::milliseconds m_interval;
     int m_open = 0;
+    int m_accepted = 0;
 };
 
 } // namespace geraniumcart::test
