--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -2,6 +2,7 @@
 #include "support/fake_fleet.h"
 #include "support/raw_server.h"
 
+#include "connection/frame_connection_p.h"
 #include "connection/http_client_p.h"
 #include "connection/searcher_connection_p.h"
 #include "connection/upstream_connections_p.h"
@@ -272,6 +273,37 @@
     CHECK(peak - before < 2 * MaxOpenAnswersBytes + Searchers * 2 * SmallAnswerBytes);
 }
 
+// Guards against memory that is reserved for frames which never arrive: anything that listens at an
+// address of an earlier peer may announce the largest frame on each connection.
+TEST_CASE("the announced length of a frame reserves no memory")
+{
+    constexpr std::size_t Connections = 60;
+    const auto length = static_cast<std::uint32_t>(MaxFrameBytes - 1);
+    std::string prefix;
+    for (unsigned shift = 0; shift < 32; shift += 8)
+        prefix += static_cast<char>(length >> shift & 0xFFU);
+    const std::string sent = prefix + std::string(GENERATE(0, 1000), 'x');
+    boost::asio::io_context context;
+    using Tcp = boost::asio::ip::tcp;
+    Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    std::vector<Tcp::socket> peers;
+    std::vector<std::shared_ptr<FrameConnection>> connections;
+    const std::size_t before = ::mallinfo2().uordblks + ::mallinfo2().hblkhd;
+    for (std::size_t i = 0; i < Connections; ++i) {
+        peers.emplace_back(context);
+        peers.back().connect(acceptor.local_endpoint());
+        connections.push_back(
+                std::make_shared<FrameConnection>(FrameConnection::Socket(acceptor.accept())));
+        connections.back()->start();
+        boost::asio::write(peers.back(), boost::asio::buffer(sent));
+    }
+    context.run_for(100ms);
+    const std::size_t after = ::mallinfo2().uordblks + ::mallinfo2().hblkhd;
+    CHECK(after - before < Connections * 256 * 1024);
+    for (const auto &connection : connections)
+        connection->close();
+}
+
 // Guards against a store whose answers never end, which would occupy the control thread, fill the
 // memory or keep the call open.
 TEST_CASE("bytes of a store that are no answer end the call within its time")
