Close connections between daemons that have gone silent for good

Nothing called ControlNetwork::closeIdle(). A connection that goes silent is replaced by the daemon that misses an answer on it; the other daemon never receives its end, and kept it and its descriptor until the process ended.

--- a/src/connection/control_network.cpp
+++ b/src/connection/control_network.cpp
@@ -4,6 +4,8 @@
 
 #include <geraniumcart/config.h>
 
+#include <algorithm>
+
 namespace geraniumcart {
 
 namespace {
@@ -11,22 +13,26 @@
 /// A connection on which nothing was received for this long is replaced by one that receives
 /// messages.
 constexpr std::chrono::milliseconds StaleTimeout{500};
-/// Peers send several heartbeats a second, so the peer of a connection that received none for a
-/// minute no longer runs.
-constexpr std::chrono::seconds IdleTimeout{60};
+/// Number of checks for idle connections in the time after which they are closed.
+constexpr int IdleChecks = 4;
 
 } // namespace
 
-ControlNetwork::ControlNetwork(boost::asio::io_context &context, HelloSource hello, Handler handler)
+ControlNetwork::ControlNetwork(boost::asio::io_context &context, TimerService &timers,
+                               HelloSource hello, Handler handler, Duration idleTime)
     : m_context(context)
+    , m_timers(timers)
+    , m_idleTime(idleTime)
     , m_hello(std::move(hello))
     , m_handler(std::move(handler))
 {
+    closeIdle();
 }
 
 ControlNetwork::~ControlNetwork()
 {
-    for (const auto &[connection, peerAddress] : m_connections)
+    m_timers.cancel(m_idleTimer);
+    for (const auto &[connection, peer] : m_connections)
         connection->close();
 }
 
@@ -73,7 +79,7 @@
 
 void ControlNetwork::start(const ConnectionPtr &connection, const std::string &peerAddress)
 {
-    m_connections[connection] = peerAddress;
+    m_connections[connection] = {peerAddress, std::chrono::steady_clock::now()};
     connection->setCallbacks(
             [this, peerAddress](FrameConnection &from, PeerMessage message) {
                 onMessage(peerAddress, from, std::move(message));
@@ -110,18 +116,17 @@
 void ControlNetwork::closeIdle()
 {
     const TimePoint now = std::chrono::steady_clock::now();
-    for (auto entry = m_connections.begin(); entry != m_connections.end();) {
-        const ConnectionPtr connection = entry->first;
-        if (now - connection->lastReceived() < IdleTimeout) {
-            ++entry;
-            continue;
-        }
-        const auto current = m_current.find(entry->second);
+    std::erase_if(m_connections, [&](const auto &entry) {
+        const auto &[connection, peer] = entry;
+        if (now - std::max(connection->lastReceived(), peer.connectedAt) < m_idleTime)
+            return false;
+        const auto current = m_current.find(peer.address);
         if (current != m_current.end() && current->second == connection)
             m_current.erase(current);
-        entry = m_connections.erase(entry);
         connection->close();
-    }
+        return true;
+    });
+    m_idleTimer = m_timers.schedule(m_idleTime / IdleChecks, [this] { closeIdle(); });
 }
 
 } // namespace geraniumcart
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -170,7 +170,7 @@
 
     m_store.emplace(m_context, *storeEndpoint);
     m_network.emplace(
-            m_context, [this] { return m_control->hello(PeerPlane::Control); },
+            m_context, m_timers, [this] { return m_control->hello(PeerPlane::Control); },
             [this](const std::string &peer, PeerMessage message) {
                 m_control->onPeerMessage(peer, std::move(message));
             });
--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -236,7 +236,7 @@
         return false;
 
     m_network.emplace(
-            m_context,
+            m_context, m_timers,
             [this] {
                 return PeerHello{m_membership->self(), Cell, PeerPlane::Control};
             },
--- a/tests/platform_fleet_test.cpp
+++ b/tests/platform_fleet_test.cpp
@@ -180,6 +180,50 @@
     CHECK(fleet.digests().size() == 1);
 }
 
+// Guards against daemons that miss changes since their open connections have gone silent for good,
+// while new ones would work.
+TEST_CASE("changes are in force in time after connections between daemons went silent")
+{
+    const auto [failure, daemons, share, changeAfter] =
+            GENERATE(table<const char *, int, double, Duration>({
+                    {"a few connections of a small fleet are silent", 8, 0.1, 4500ms},
+                    {"most connections of a small fleet are silent", 8, 0.7, 4500ms},
+                    {"all connections of a small fleet are silent", 8, 1.0, 4500ms},
+                    {"a change follows at once", 8, 0.7, 20ms},
+                    {"a change follows while daemons notice the silence", 8, 1.0, 1500ms},
+                    {"most connections of a larger fleet are silent", 60, 0.7, 4500ms},
+                    {"all connections of a larger fleet are silent", 60, 1.0, 1500ms},
+            }));
+    const std::uint64_t seed = GENERATE(range<std::uint64_t>(1, 6));
+    INFO(failure << ", seed " << seed);
+    ConfiguredFleet fleet(daemons);
+    fleet.store.put("servers", "leaving",
+                    {{"service", "desk"},
+                     {"address", "127.0.0.1:10"},
+                     {"zone", "open"},
+                     {"slots", 2},
+                     {"state", "ready"}});
+    fleet.advance(3s);
+    REQUIRE(fleet.usingSearcher("leaving").size() == static_cast<std::size_t>(daemons));
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> chance(0, 1);
+    for (const auto &[a, first] : fleet.nodes())
+        for (const auto &[b, second] : fleet.nodes())
+            if (a < b && chance(random) < share)
+                fleet.silence(a, b);
+    REQUIRE(fleet.silentConnections() > 0);
+    fleet.advance(changeAfter);
+    fleet.store.put("config", "main", configuration(2));
+    fleet.advance(500ms);
+    fleet.store.remove("servers", "leaving");
+    fleet.advance(ConfigurationBound - 500ms);
+    CHECK(fleet.without(2) == std::vector<std::string>());
+    fleet.advance(DrainBound - (ConfigurationBound - 500ms));
+    CHECK(fleet.usingSearcher("leaving") == std::vector<std::string>());
+    fleet.advance(4s);
+    CHECK(fleet.digests().size() == 1);
+}
+
 // Guards against the loss of searchers whose entries expire in an outage of the store and are
 // written again soon after it.
 TEST_CASE("searchers whose entries expire in an outage stay in use")
--- a/tests/support/platform_simulated_fleet.h
+++ b/tests/support/platform_simulated_fleet.h
@@ -13,6 +13,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -292,7 +293,7 @@
             if (!isRetired)
                 fleet.deliver(name, peer, std::move(message));
         }
-        void reconnect(const std::string &) override {}
+        void reconnect(const std::string &peer) override { fleet.reconnect(name, peer); }
         std::uint64_t routesVersion() const
         {
             const ServingViewPin view = views.pin();
@@ -381,6 +382,9 @@
         m_nodes[nameOf(index)] = std::make_unique<Node>(
                 *this, index, static_cast<std::uint64_t>(incarnation.count()));
     }
+    /// Drops all messages between two daemons until one of them opens a new connection.
+    void silence(const std::string &a, const std::string &b) { m_silent.insert(std::minmax(a, b)); }
+    std::size_t silentConnections() const { return m_silent.size(); }
     /// Drops the messages from @p from to @p to.
     void cut(const std::string &from, const std::string &to) { m_cutLinks.insert({from, to}); }
     void advance(Duration step) { timers.advance(step); }
@@ -391,7 +395,7 @@
 private:
     void deliver(const std::string &from, const std::string &to, PeerMessage message)
     {
-        if (m_cutLinks.contains({from, to}))
+        if (m_cutLinks.contains({from, to}) || m_silent.contains(std::minmax(from, to)))
             return;
         timers.schedule(std::chrono::milliseconds(1),
                         [this, from, to, message = std::move(message)] {
@@ -400,6 +404,10 @@
                                 handle(*node->second, from, message);
                         });
     }
+    void reconnect(const std::string &from, const std::string &to)
+    {
+        m_silent.erase(std::minmax(from, to));
+    }
     static void handle(Node &node, const std::string &from, const PeerMessage &message)
     {
         if (const auto *ping = std::get_if<PeerPing>(&message))
@@ -419,6 +427,7 @@
     std::map<std::string, std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<Node>> m_retired;
     std::set<std::pair<std::string, std::string>> m_cutLinks;
+    std::set<std::pair<std::string, std::string>> m_silent;
 };
 
 } // namespace geraniumcart::test
