--- a/tests/platform_fleet_test.cpp
+++ b/tests/platform_fleet_test.cpp
@@ -30,6 +30,16 @@
             {"services", {{{"name", "desk"}, {"max_connections", 8}}}}};
 }
 
+/// @return the spec of a searcher's entry
+json::object readyEntry()
+{
+    return {{"service", "desk"},
+            {"address", "127.0.0.1:10"},
+            {"zone", "open"},
+            {"slots", 2},
+            {"state", "ready"}};
+}
+
 /// A fleet that serves version 1, in which searchers report to the store all the time.
 struct ConfiguredFleet : SimulatedFleet
 {
@@ -155,12 +165,7 @@
     const Duration offset = GENERATE(0ms, 170ms, 340ms, 510ms, 680ms);
     INFO(failure << ", " << offset / 1ms << " ms");
     ConfiguredFleet fleet(10);
-    fleet.store.put("servers", "leaving",
-                    {{"service", "desk"},
-                     {"address", "127.0.0.1:10"},
-                     {"zone", "open"},
-                     {"slots", 2},
-                     {"state", "ready"}});
+    fleet.store.put("servers", "leaving", readyEntry());
     fleet.store.put("evacuations", "other", {});
     fleet.advance(3s + offset);
     REQUIRE(fleet.usingSearcher("leaving").size() == 10);
@@ -197,12 +202,7 @@
     const std::uint64_t seed = GENERATE(range<std::uint64_t>(1, 6));
     INFO(failure << ", seed " << seed);
     ConfiguredFleet fleet(daemons);
-    fleet.store.put("servers", "leaving",
-                    {{"service", "desk"},
-                     {"address", "127.0.0.1:10"},
-                     {"zone", "open"},
-                     {"slots", 2},
-                     {"state", "ready"}});
+    fleet.store.put("servers", "leaving", readyEntry());
     fleet.advance(3s);
     REQUIRE(fleet.usingSearcher("leaving").size() == static_cast<std::size_t>(daemons));
     std::mt19937_64 random(seed);
@@ -237,13 +237,8 @@
             }));
     const Duration offset = GENERATE(0ms, 270ms, 540ms);
     INFO(failure << ", " << offset / 1ms << " ms");
-    const json::object entry{{"service", "desk"},
-                             {"address", "127.0.0.1:10"},
-                             {"zone", "open"},
-                             {"slots", 2},
-                             {"state", "ready"}};
     ConfiguredFleet fleet(10);
-    fleet.store.put("servers", "lapsed", entry);
+    fleet.store.put("servers", "lapsed", readyEntry());
     fleet.advance(3s + offset);
     REQUIRE(fleet.usingSearcher("lapsed").size() == 10);
     for (const auto &[name, node] : fleet.nodes())
@@ -258,7 +253,7 @@
         INFO(after / 1ms << " ms after the outage");
         CHECK(fleet.usingSearcher("lapsed").size() == 10);
     }
-    fleet.store.put("servers", "lapsed", entry);
+    fleet.store.put("servers", "lapsed", readyEntry());
     fleet.advance(4s);
     CHECK(fleet.usingSearcher("lapsed").size() == 10);
 }
