Compare with a watcher after three different heartbeats again

It is not needed: the time of grace counts from when the objects were last current, so that a removal that is learned after three heartbeats takes effect at once. All rows of "a removed searcher is out of use in time while watchers are lost" pass without it.

--- a/include/geraniumcart/fleet_relay.h
+++ b/include/geraniumcart/fleet_relay.h
@@ -199,8 +199,6 @@
     std::map<std::string, std::uint32_t> m_mismatches;
     /// Time of the first heartbeat with another digest since one with the same digest.
     std::optional<TimePoint> m_differsSince;
-    /// Time of the last heartbeat with the same digest, or of the first heartbeat of all.
-    std::optional<TimePoint> m_lastSameDigest;
     TimePoint m_lastDifferenceLog{};
     /// Time at which the objects of each kind were last known to be current, from an answer of the
     /// store or a heartbeat with the same digest; the clock's epoch before the first.
--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -38,9 +38,6 @@
 /// Number of consecutive heartbeats with another digest before all objects are compared. A single
 /// difference may be a change that is still in transit.
 constexpr std::uint32_t MismatchesBeforePull = 3;
-/// Time since the last heartbeat with the same digest after which one difference suffices. Changes
-/// are missed while the watchers of a daemon restart.
-constexpr std::chrono::milliseconds SameDigestTime = 3 * StateHeartbeatInterval;
 /// Minimum time between two such comparisons.
 constexpr std::chrono::milliseconds PullInterval{2000};
 /// Time after which a difference that comparisons do not resolve is reported, and interval between
@@ -390,14 +387,11 @@
     m_lastStateHeartbeat = now;
     m_validUntil =
             std::max(m_validUntil, now + std::min<Duration>(heartbeat.validFor, MaxStatedValidity));
-    if (!m_lastSameDigest)
-        m_lastSameDigest = now;
     if (heartbeat.digest != m_digest) {
         onOtherDigest(peerAddress);
         return;
     }
     m_mismatches[peerAddress] = 0;
-    m_lastSameDigest = now;
     m_differsSince.reset();
     m_currentAt.fill(now);
 }
@@ -416,14 +410,12 @@
                   {"objects", m_replica.versions().size()}});
     }
     std::uint32_t &mismatches = m_mismatches[peerAddress];
-    const bool isDue =
-            ++mismatches >= MismatchesBeforePull || now - *m_lastSameDigest > SameDigestTime;
-    if (!isDue || now - m_lastPull < PullInterval)
+    if (++mismatches < MismatchesBeforePull || now - m_lastPull < PullInterval)
         return;
     mismatches = 0;
     m_lastPull = now;
     logEvent(LogLevel::Info, "fleetStateCompared",
-             {{"peer", peerAddress}, {"sinceSame", now - *m_lastSameDigest}});
+             {{"peer", peerAddress}, {"differsFor", differenceAge()}});
     m_network.send(peerAddress, PeerObjectPull{m_replica.versions(), true});
 }
 
