Read the answers of both protocols with one bounded parser

The parsers of the platform's path and of the product's own protocol repeated the bounds on header, body and open answers. BoundedAnswerParser holds them; the two read header fields only. One value changes: for an announced length 64 KB are reserved instead of 256 KB, as on the platform's path.

--- a/src/connection/answer_reader.cpp
+++ b/src/connection/answer_reader.cpp
@@ -1,13 +1,12 @@
 #include "connection/answer_reader_p.h"
 
-#include "connection/answer_status_p.h"
+#include "connection/bounded_answer_parser_p.h"
 #include "connection/forwarded_headers_p.h"
 
 #include <geraniumcart/config.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -86,34 +85,28 @@
 }
 
 /// Parses one answer into an UpstreamReply.
-class AnswerReader::Parser final : public http::basic_parser<false>
+class AnswerReader::Parser final : public BoundedAnswerParser
 {
 public:
     Parser(const UpstreamHeaderNames &names, OpenAnswers &openAnswers)
-        : m_names(names)
-        , m_bytes(openAnswers)
+        : BoundedAnswerParser(openAnswers, MaxHeadBytes)
+        , m_names(names)
     {
-        header_limit(MaxHeadBytes);
-        body_limit(MaxAnswerBytes);
-        eager(true);
     }
+
     UpstreamReply reply;
     std::string requestId;
     std::optional<Duration> keepAliveTime;
 
 private:
-    void on_request_impl(http::verb, beast::string_view, beast::string_view, int,
-                         error_code &) override
-    {
-    }
-    void on_response_impl(int status, beast::string_view reason, int, error_code &error) override
+    bool onStatus(unsigned status, beast::string_view reason) override
     {
-        reply.status = static_cast<std::uint32_t>(status);
-        if (statusKindOf(reply.status) == StatusKind::None)
-            error = http::error::bad_status;
+        reply.status = status;
         reply.reason = view(reason);
-        reply.isNotRun = reply.isOtherInstance = reply.status == MisdirectedRequest;
+        reply.isNotRun = reply.isOtherInstance = status == MisdirectedRequest;
+        return true;
     }
+    std::string &body() override { return reply.body; }
     void on_field_impl(http::field field, beast::string_view name, beast::string_view value,
                        error_code &) override
     {
@@ -146,38 +139,8 @@
         else
             reply.rateLimit = std::min(*limit, reply.rateLimit.value_or(*limit));
     }
-    void on_header_impl(error_code &) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t> &size, error_code &) override
-    {
-        // More is reserved only as bytes arrive, since the searcher may announce a length that it
-        // does not send.
-        if (size)
-            reply.body.reserve(std::min<std::uint64_t>(*size, SmallAnswerBytes));
-    }
-    std::size_t on_body_impl(beast::string_view body, error_code &error) override
-    {
-        return append(body, error);
-    }
-    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code &) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
-                                   error_code &error) override
-    {
-        return append(body, error);
-    }
-    void on_finish_impl(error_code &) override {}
-
-    std::size_t append(beast::string_view body, error_code &error)
-    {
-        if (!m_bytes.tryAdd(body.size())) {
-            error = http::error::body_limit;
-            return 0;
-        }
-        reply.body.append(body.data(), body.size());
-        return body.size();
-    }
 
     const UpstreamHeaderNames &m_names;
-    OpenAnswerBytes m_bytes;
 };
 
 AnswerReader::AnswerReader(const UpstreamHeaderNames &names, OpenAnswers &openAnswers)
--- a/src/connection/answer_status_p.h
+++ b/src/connection/answer_status_p.h
@@ -10,8 +10,7 @@
     Interim,
     Final,
     /// No answer has this status: it is not in 100 to 599, or it is 101, which answers only
-    /// requests
-    /// that ask for another protocol.
+    /// requests that ask for another protocol.
     None,
 };
 
--- a/src/connection/searcher_connection.cpp
+++ b/src/connection/searcher_connection.cpp
@@ -1,17 +1,13 @@
 #include "connection/searcher_connection_p.h"
 
-#include "connection/answer_status_p.h"
+#include "connection/searcher_answer_parser_p.h"
 
 #include <geraniumcart/config.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 #include <boost/json/basic_parser_impl.hpp>
 
-#include <xxhash.h>
-
 #include <charconv>
 #include <cstring>
 #include <utility>
@@ -20,7 +16,6 @@
 namespace geraniumcart {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 namespace json = boost::json;
 using boost::system::error_code;
@@ -31,21 +26,9 @@
 constexpr std::size_t ReadBufferBytes = 8 * 1024;
 /// Maximum size of the receive buffer. The header of an answer must fit into it.
 constexpr std::size_t MaxReadBufferBytes = 64 * 1024;
-/// Maximum size of an answer's header.
-constexpr std::uint32_t MaxHeadBytes = 8 * 1024;
-/// Maximum memory that is reserved for a body because of its announced length, before its bytes
-/// have arrived.
-constexpr std::size_t MaxBodyReserve = 256 * 1024;
 /// Maximum nesting depth of an answer's JSON value.
 constexpr std::size_t MaxJsonDepth = 256;
 
-template <typename Number>
-bool parseNumber(std::string_view text, Number &value)
-{
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end == text.data() + text.size();
-}
-
 template <typename Number>
 void appendNumber(std::string &out, Number value)
 {
@@ -54,120 +37,6 @@
     out.append(digits.data(), result.ptr);
 }
 
-bool parseServed(std::string_view text, ServedVersions &versions)
-{
-    const std::size_t dash = text.find('-');
-    return dash != std::string_view::npos && parseNumber(text.substr(0, dash), versions.oldest) &&
-           parseNumber(text.substr(dash + 1), versions.newest) &&
-           versions.oldest <= versions.newest;
-}
-
-/// Parser of an answer on top of Beast's parser. It converts the header fields of the searcher's
-/// interface as it parses them and skips all others, so that no field is stored as text.
-class AnswerParser final : public http::basic_parser<false>
-{
-public:
-    AnswerParser(UpstreamAnswer &answer, OpenAnswers &openAnswers)
-        : m_answer(answer)
-        , m_bytes(openAnswers)
-    {
-        header_limit(MaxHeadBytes);
-        body_limit(MaxAnswerBytes);
-        eager(true);
-    }
-
-private:
-    void on_request_impl(http::verb, beast::string_view, beast::string_view, int,
-                         error_code &) override
-    {
-    }
-    void on_response_impl(int code, beast::string_view, int, error_code &error) override
-    {
-        m_answer.status = static_cast<std::uint16_t>(code);
-        // Requests never ask for an interim answer, so one violates the protocol.
-        if (statusKindOf(m_answer.status) != StatusKind::Final)
-            error = http::error::bad_status;
-    }
-    void on_field_impl(http::field field, beast::string_view name, beast::string_view value,
-                       error_code &error) override
-    {
-        if (field == http::field::unknown &&
-            !readField({name.data(), name.size()}, {value.data(), value.size()}))
-            error = http::error::bad_value;
-    }
-    void on_header_impl(error_code &) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
-    {
-        if (length)
-            m_answer.body.reserve(std::min<std::uint64_t>(*length, MaxBodyReserve));
-    }
-    std::size_t on_body_impl(beast::string_view body, error_code &error) override
-    {
-        return append(body, error);
-    }
-    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code &) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
-                                   error_code &error) override
-    {
-        return append(body, error);
-    }
-    void on_finish_impl(error_code &) override {}
-
-    std::size_t append(beast::string_view body, error_code &error)
-    {
-        if (!m_bytes.tryAdd(body.size())) {
-            error = http::error::body_limit;
-            return 0;
-        }
-        m_answer.body.append(body.data(), body.size());
-        return body.size();
-    }
-
-    bool readField(std::string_view name, std::string_view value)
-    {
-        // The length alone nearly identifies the field, which leaves one comparison, or two for
-        // length 7.
-        switch (name.size()) {
-        case 5:
-            if (beast::iequals(name, "Shard"))
-                return parseNumber(value, m_answer.shard.emplace());
-            break;
-        case 7:
-            if (beast::iequals(name, "Boot-Id"))
-                m_answer.bootId = XXH3_64bits(value.data(), value.size());
-            else if (beast::iequals(name, "Not-Run"))
-                m_answer.isNotRun = value == "1";
-            break;
-        case 8:
-            if (beast::iequals(name, "Draining"))
-                m_answer.isDraining = value == "1";
-            break;
-        case 9:
-            if (beast::iequals(name, "Documents"))
-                return parseNumber(value, m_answer.documents);
-            break;
-        case 10:
-            if (beast::iequals(name, "Request-Id"))
-                return parseNumber(value, m_answer.requestId.emplace());
-            break;
-        case 13:
-            if (beast::iequals(name, "Index-Version"))
-                return parseNumber(value, m_answer.indexVersion);
-            break;
-        case 14:
-            if (beast::iequals(name, "Index-Versions"))
-                return parseServed(value, m_answer.served.emplace());
-            break;
-        default:
-            break;
-        }
-        return true;
-    }
-
-    UpstreamAnswer &m_answer;
-    OpenAnswerBytes m_bytes;
-};
-
 /// Handler that makes Boost.JSON's parser validate a text without storing its values. Boost.JSON
 /// prescribes the member names.
 // NOLINTBEGIN(readability-identifier-naming)
@@ -367,7 +236,7 @@
     std::vector<char> m_buffer;
     std::size_t m_filled = 0;
     UpstreamAnswer m_answer;
-    std::optional<AnswerParser> m_parser;
+    std::optional<SearcherAnswerParser> m_parser;
     json::basic_parser<JsonEvents> m_json;
     bool m_isLast = false;
 };
