--- a/src/process/gateway_daemon.cpp
+++ b/src/process/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include "connection/metrics_handler_p.h"
 #include "connection/peer_listener_p.h"
 #include "process/event_loop_p.h"
+#include "process/gateway_membership_p.h"
 #include "process/gateway_metrics_p.h"
 #include "process/gateway_worker_p.h"
 #include "process/load_meter_p.h"
@@ -21,7 +22,6 @@
 #include <algorithm>
 #include <csignal>
 #include <optional>
-#include <random>
 
 namespace geraniumcart {
 
@@ -50,18 +50,6 @@
 constexpr std::chrono::seconds ExportInterval{1};
 /// Interval at which the load of this daemon is measured.
 constexpr std::chrono::seconds LoadInterval{1};
-/// Interval between two heartbeats to peers. A failed daemon is removed from the list of entries
-/// within about three seconds.
-constexpr std::chrono::milliseconds ProbeInterval{400};
-/// Time after which other daemons probe a silent member as well. A daemon with an eighth of a core
-/// may answer late.
-constexpr std::chrono::milliseconds ProbeAckTimeout{300};
-/// Time after which a probe has failed. Leaves the relayed probes twice as long as the direct one.
-constexpr std::chrono::milliseconds ProbeTimeout{900};
-/// Time in which a suspected member can refute the suspicion. Each member gets messages from about
-/// three others in this time.
-constexpr std::chrono::milliseconds SuspicionTimeout{1200};
-
 /// Returns an incarnation number that grows with each start of a daemon on one host, as long as the
 /// clock is not set back by more than the time between two starts.
 std::uint64_t newIncarnation(const TimerService &timers)
@@ -80,24 +68,6 @@
     return load;
 }
 
-MembershipConfig membershipConfig(const GatewaySettings &settings)
-{
-    MembershipConfig config;
-    config.self.name = settings.name;
-    config.self.zone = settings.zone;
-    config.self.peerAddress = settings.peerAddress;
-    config.self.weight = settings.processorShare;
-    for (const std::string &seed : settings.seeds)
-        if (seed != settings.peerAddress)
-            config.seeds.push_back(seed);
-    config.probeInterval = ProbeInterval;
-    config.ackTimeout = ProbeAckTimeout;
-    config.probeTimeout = ProbeTimeout;
-    config.suspicionTimeout = SuspicionTimeout;
-    config.seed = std::random_device{}();
-    return config;
-}
-
 } // namespace
 
 /// The parts of the daemon. Its members belong to the control thread, which calls
