Forward the length that a searcher states in its answer to HEAD

Callers of HEAD got Content-Length: 0 for a body that GET would send: the length of a forwarded answer was computed from its body, which an answer to HEAD does not have. UpstreamReply now says that there is no body and which length is stated.

Evidence: "a searcher's answer to HEAD is passed on with the length that it states" with the earlier line: "0" == "9" failed; it passes now. The fixture's host comes from tests/support/loopback.h, which the soak and the process test use, too.

--- a/include/geraniumcart/exchange.h
+++ b/include/geraniumcart/exchange.h
@@ -39,6 +39,10 @@
     /// End-to-end header fields; hop-by-hop fields are left out.
     std::vector<HeaderField> headers;
     std::string body;
+    /// False for the answer to a HEAD request, which has no body.
+    bool hasBody = true;
+    /// Length that an answer without a body states for the body that GET would get, if it does.
+    std::optional<std::uint64_t> statedLength;
     /// The searcher's signature of this answer; empty if there is none.
     std::string signature;
     /// The searcher reported that it did not run the request.
--- a/src/connection/answer_reader.cpp
+++ b/src/connection/answer_reader.cpp
@@ -244,6 +244,9 @@
     m_isReusable =
             m_isReusable && m_unparsed.empty() && parser->keep_alive() && !parser->need_eof();
     m_reply = std::move(parser->reply);
+    m_reply.hasBody = !m_isHead;
+    if (m_isHead && parser->content_length())
+        m_reply.statedLength = *parser->content_length();
     return Progress::Answer;
 }
 
--- a/src/connection/gateway_handler.cpp
+++ b/src/connection/gateway_handler.cpp
@@ -176,7 +176,10 @@
         for (const HeaderField &field : answer.reply.headers)
             response.insert(field.name, field.value);
         response.body() = std::move(answer.reply.body);
-        response.prepare_payload();
+        if (answer.reply.hasBody)
+            response.prepare_payload();
+        else if (answer.reply.statedLength)
+            response.content_length(*answer.reply.statedLength);
         return response;
     }
     case RoutedStatus::Merged: {
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -1,3 +1,4 @@
+#include "support/loopback.h"
 #include "support/platform_standins.h"
 
 #include "connection/endpoint_p.h"
@@ -13,7 +14,6 @@
 #include <csignal>
 #include <optional>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 using namespace geraniumcart;
@@ -27,17 +27,8 @@
 /// Maximum time to wait for an expected state.
 constexpr auto TestTimeout = 8s;
 
-/// @return a loopback address that no other process uses, so that none of their connections takes a
-/// port between its choice and its use
-std::string ownLoopbackAddress()
-{
-    const auto process = static_cast<unsigned>(::getpid());
-    return "127." + std::to_string(1 + process / 250 % 250) + '.' +
-           std::to_string(1 + process % 250) + ".1";
-}
-
 /// HttpClient sends the address in the Host header.
-const std::string Host = ownLoopbackAddress();
+const std::string Host = ownLoopbackHost(1);
 /// Two 16-byte results of a shard; merging sorts the higher one first.
 constexpr const char *LowResult = "aaaaaaaaaaaaaaaa";
 constexpr const char *HighResult = "zzzzzzzzzzzzzzzz";
@@ -266,6 +257,21 @@
     }
 }
 
+// Guards against a length that is not the searcher's in the answer to HEAD, and against bytes
+// behind its header.
+TEST_CASE("a searcher's answer to HEAD is passed on with the length that it states")
+{
+    Fixture fixture;
+    // Both searchers answer with bodies of this length.
+    const std::size_t length = std::string("body of a").size();
+    const std::string received = fixture.exchange(
+            fixture.callerEndpoint, "HEAD /desk/1 HTTP/1.1\r\nHost: " + Host +
+                                            "\r\nRequest-Id: h1\r\nConnection: close\r\n\r\n");
+    REQUIRE(received.starts_with("HTTP/1.1 200"));
+    CHECK(headerValue(received, "Content-Length") == std::to_string(length));
+    CHECK(received.ends_with("\r\n\r\n"));
+}
+
 // Guards against a body in an answer of the gateway's own to HEAD: the caller reads it as the start
 // of its next answer.
 TEST_CASE("the gateway's own answers to HEAD have no body")
--- a/tests/support/platform_standins.h
+++ b/tests/support/platform_standins.h
@@ -207,7 +207,7 @@
                 "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: stamp-" + instanceId +
                 leaving +
                 "\r\nServer-Load: 1,0,2\r\nContent-Length: " + std::to_string(m_body.size()) +
-                "\r\n\r\n" + m_body;
+                "\r\n\r\n" + (head.starts_with("HEAD ") ? std::string() : m_body);
         switch (mode) {
         case Mode::Serving:
         case Mode::Leaving:
