--- a/src/version/fleet_relay.cpp
+++ b/src/version/fleet_relay.cpp
@@ -40,8 +40,8 @@
 constexpr std::uint32_t MismatchesBeforePull = 3;
 /// Minimum time between two such comparisons.
 constexpr std::chrono::milliseconds PullInterval{2000};
-/// Time after which a difference that comparisons do not resolve is reported, and interval between
-/// two reports.
+/// Time after which a difference is reported, and interval between two reports. Three comparisons
+/// fit into it, so that one that was lost does not count.
 constexpr std::chrono::seconds DifferenceReportTime{6};
 /// Time after an outage of the store in which entries that expired during it are written again.
 constexpr std::chrono::seconds EntryReturnTime{2};
--- a/tests/soak/endless_process_test.cpp
+++ b/tests/soak/endless_process_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway_process.h"
 #include "support/endless_server.h"
+#include "support/loopback.h"
 #include "support/platform_standins.h"
 
 #include "connection/endpoint_p.h"
@@ -34,14 +35,6 @@
 /// Time that a request to a sound searcher may take.
 constexpr Duration LatencyBound = 600ms;
 
-/// @return a loopback address that no other process uses
-std::string ownHost()
-{
-    const auto process = static_cast<unsigned>(::getpid());
-    return "127." + std::to_string(1 + process / 250 % 250) + '.' +
-           std::to_string(1 + process % 250) + ".2";
-}
-
 /// A gateway process, a store, endless searchers of one service and a sound one of another.
 class Fixture
 {
@@ -182,7 +175,7 @@
         return address;
     }
 
-    const std::string m_host = ownHost();
+    const std::string m_host = ownLoopbackHost(2);
     const std::filesystem::path m_folder = std::filesystem::temp_directory_path() /
                                            ("geraniumcart-endless-" + std::to_string(::getpid()));
     std::vector<Tcp::acceptor> m_held;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,7 +5,9 @@
 
 #include "gateway_process.h"
 #include "guarantee_checker.h"
+#include "soak_fleet.h"
 #include "soak_searcher.h"
+#include "support/loopback.h"
 #include "support/platform_standins.h"
 
 #include "connection/endpoint_p.h"
@@ -33,7 +35,6 @@
 
 namespace {
 
-constexpr int Shards = 4;
 constexpr int ReplicasPerShard = 2;
 constexpr int DeskSearchers = 3;
 constexpr std::chrono::milliseconds RequestInterval{12};
@@ -50,45 +51,17 @@
     std::filesystem::path folder;
 };
 
-/// @return a loopback address for @p seed. Runs with different seeds use different addresses, so
-/// that parallel runs do not use the same port.
-std::string loopbackHost(std::uint64_t seed)
-{
-    return "127." + std::to_string(1 + seed / 250 % 250) + '.' + std::to_string(1 + seed % 250) +
-           ".1";
-}
-
-/// A gateway process and the proxy between it and the store.
-struct Gateway
-{
-    Gateway(boost::asio::io_context &context, const RawServer::Tcp::endpoint &store)
-        : storeProxy(context, store)
-    {
-    }
-    std::string name;
-    std::string callerAddress;
-    std::string settingsFile;
-    std::string logFile;
-    pid_t process = 0;
-    bool isPaused = false;
-    bool isStopping = false;
-    /// True if the process has had no fault other than a planned stop since its start.
-    bool isUndisturbed = true;
-    FaultProxy storeProxy;
-    std::unique_ptr<HttpClient> client;
-};
-
 /// Runs one seed. Everything except the gateway processes runs on the thread that calls run().
 class Soak final : public RunObserver
 {
 public:
     explicit Soak(Options options)
         : m_options(std::move(options))
-        , m_host(loopbackHost(m_options.seed))
+        , m_host(loopbackHost(m_options.seed, 1))
         , m_random(m_options.seed)
         , m_guarantees(m_options.seed, Shards)
     {
-        m_store.put("config", "main", configuration());
+        m_store.put("config", "main", configuration(m_host));
         for (int i = 0; i < DeskSearchers; ++i)
             addSearcher("desk", "desk-" + std::to_string(i));
         for (int shard = 0; shard < Shards; ++shard)
@@ -146,31 +119,6 @@
     }
 
 private:
-    json::object configuration() const
-    {
-        json::array shards;
-        json::array services{{{"name", "desk"}, {"max_connections", 36}}};
-        for (int i = 0; i < Shards; ++i) {
-            shards.push_back(json::value("shard" + std::to_string(i)));
-            services.push_back({{"name", "shard" + std::to_string(i)}, {"max_connections", 26}});
-        }
-        const auto route = [this](const char *prefix, const char *kind) {
-            return json::object{{"name", prefix},        {"host", m_host},
-                                {"path_prefix", prefix}, {"route_type", kind},
-                                {"timeout_ms", 1500},    {"target_latency_ms", 200},
-                                {"attempts", 2}};
-        };
-        json::object once = route("/once/", "non_idempotent");
-        once["service"] = "desk";
-        json::object many = route("/many/", "idempotent");
-        many["service"] = "desk";
-        json::object all = route("/all/", "idempotent");
-        all["fanout_services"] = shards;
-        all["result_limit"] = Shards;
-        all["min_success_share"] = 0.5;
-        return {{"config_version", 1}, {"routes", {once, many, all}}, {"services", services}};
-    }
-
     void addSearcher(const std::string &service, const std::string &id)
     {
         m_searchers.push_back(
