--- a/review/standins-3/http.h
+++ b/review/standins-3/http.h
@@ -63,14 +63,19 @@
     return socket;
 }
 
-/// @return a port that is free on @p ip now
+/// @return a port that is free on @p ip now and was not returned before
 inline std::uint16_t freePort(const std::string &ip)
 {
-    Address address{ip, 0};
-    const int socket = listenOn(address);
-    if (socket >= 0)
+    static std::set<std::string> used;
+    while (true) {
+        Address address{ip, 0};
+        const int socket = listenOn(address);
+        if (socket < 0)
+            return 0;
         ::close(socket);
-    return address.port;
+        if (used.insert(address.text()).second)
+            return address.port;
+    }
 }
 
 inline bool isFree(Address address)
--- a/review/standins-3/searchers.h
+++ b/review/standins-3/searchers.h
@@ -19,13 +19,37 @@
         , m_record(record)
         , m_server(std::make_unique<Server>(Address{ip, 0},
                                             [this](int socket) { serve(socket); }))
+        , m_address(m_server->address())
     {
     }
     virtual ~Searcher() { m_server->stop(); }
 
     const std::string &id() const { return m_id; }
     const std::string &service() const { return m_service; }
-    const Address &address() const { return m_server->address(); }
+    const Address &address() const { return m_address; }
+    bool isUp() const { return m_isUp; }
+    /// Ends all connections; until restart() its port refuses connections.
+    void crash()
+    {
+        m_isUp = false;
+        m_server->stop();
+    }
+    /// Starts again under the same id and at the same address, cold for @p coldFor.
+    void restart(Seconds coldFor)
+    {
+        m_born = wallMilliseconds();
+        m_coldUntil = (Clock::now() + std::chrono::duration_cast<Clock::duration>(coldFor))
+                              .time_since_epoch()
+                              .count();
+        m_server = std::make_unique<Server>(m_address, [this](int socket) { serve(socket); });
+        m_isUp = m_server->isListening();
+    }
+    /// Time for which it stays cold; zero if it is warm.
+    Seconds coldLeft() const
+    {
+        return std::max(Seconds(Clock::time_point(Clock::duration(m_coldUntil)) - Clock::now()),
+                        Seconds(0));
+    }
     int runs() const { return m_runs; }
     /// The entry in the store, as of the next heartbeat.
     std::string nextEntry()
@@ -33,7 +57,9 @@
         return "{\"service\":\"" + m_service + "\",\"address\":\"" + address().text() +
                "\",\"zone\":\"" + m_zone +
                "\",\"config_version\":\"v1\",\"slots\":2,\"state\":\"" + m_state +
-               "\",\"warmup_left_ms\":0,\"sequence_number\":" + std::to_string(++m_sequence) +
+               "\",\"warmup_left_ms\":" +
+               std::to_string(static_cast<int>(coldLeft().count() * 1000)) +
+               ",\"sequence_number\":" + std::to_string(++m_sequence) +
                ",\"born\":" + std::to_string(m_born) + "}";
     }
 
@@ -81,10 +107,18 @@
 
     std::string m_state = "ready";
     std::uint64_t m_sequence = 0;
-    const std::int64_t m_born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count();
+    static std::int64_t wallMilliseconds()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                .count();
+    }
+
+    std::atomic<std::int64_t> m_born = wallMilliseconds();
+    std::atomic<Clock::rep> m_coldUntil{0};
+    std::atomic<bool> m_isUp{true};
     std::unique_ptr<Server> m_server;
+    const Address m_address;
 };
 
 /// Writes the searchers' entries about every 1.2 s, each at its own time.
@@ -107,7 +141,8 @@
     {
         const std::lock_guard lock(m_mutex);
         for (Searcher *searcher : m_searchers)
-            m_store.put("servers", searcher->id(), searcher->nextEntry());
+            if (searcher->isUp())
+                m_store.put("servers", searcher->id(), searcher->nextEntry());
     }
 
 private:
@@ -118,7 +153,8 @@
             {
                 const std::lock_guard lock(m_mutex);
                 Searcher &searcher = *m_searchers[next++ % m_searchers.size()];
-                m_store.put("servers", searcher.id(), searcher.nextEntry());
+                if (searcher.isUp())
+                    m_store.put("servers", searcher.id(), searcher.nextEntry());
             }
             std::this_thread::sleep_for(Seconds(1.2 / static_cast<double>(m_searchers.size())));
         }
