--- a/review/11/restored_store.cpp
+++ b/review/11/restored_store.cc
@@ -1,5 +1,5 @@
 // Case 11: the store comes back from an older copy, and the next configuration is never in force.
-#include "../standins-3/searchers.h"
+#include "../standins-3/searchers.hh"
 
 using namespace review3;
 
--- a/review/13/cold_restart.cpp
+++ b/review/13/cold_restart.cc
@@ -1,5 +1,5 @@
 // Case 13: searchers start again under the ids that they had, and are flooded while they are cold.
-#include "../standins-3/searchers.h"
+#include "../standins-3/searchers.hh"
 
 using namespace review3;
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/*.cpp; do
+for source in review/1[1-5]/*.cc; do
     [ -e "$source" ] || continue
-    "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$(basename "$source" .cpp)" "$source"
+    "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$(basename "$source" .cc)" "$source"
 done
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.hh
@@ -1,7 +1,7 @@
 // Stand-ins for the users' platform: the store, the settings of a process, and its processes.
 #pragma once
 
-#include "http.h"
+#include "http.hh"
 
 #include <condition_variable>
 #include <csignal>
--- a/review/standins-3/searchers.h
+++ b/review/standins-3/searchers.hh
@@ -1,7 +1,7 @@
 // Stand-ins for the users' searchers and clients.
 #pragma once
 
-#include "platform.h"
+#include "platform.hh"
 
 #include <random>
 
