--- a/review/11/restored_store.cc
+++ b/review/11/restored_store.cc
@@ -15,9 +15,9 @@
     return "{\"config_version\":" + std::to_string(version) +
            ",\"routes\":[{\"name\":\"a\",\"host\":\"" + Host +
            "\",\"path_prefix\":\"/a/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
-           std::to_string(timeoutMs) +
-           ",\"target_latency_ms\":400,\"priority\":1,\"service\":\"" + service +
-           "\",\"attempts\":2}],\"services\":[" + profile("alpha") + "," + profile("beta") +
+           std::to_string(timeoutMs) + ",\"target_latency_ms\":400,\"priority\":1,\"service\":\"" +
+           service + "\",\"attempts\":2}],\"services\":[" + profile("alpha") + "," +
+           profile("beta") +
            "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
            "\"header_timeout_ms\":5000,\"idle_timeout_ms\":20000}}";
 }
@@ -106,9 +106,9 @@
             sleepUntil(at(BackAt));
             const std::uint64_t revision = store.comeBack(at(CopyAt));
             record.line("the store is back from its copy, revision " + std::to_string(revision));
-            record.line("operator writes version 8 again, revision " +
-                        std::to_string(
-                                store.put("config", "main", configuration(8, "alpha", 1900))));
+            record.line(
+                    "operator writes version 8 again, revision " +
+                    std::to_string(store.put("config", "main", configuration(8, "alpha", 1900))));
             heartbeats.writeAll();
         }
         sleepUntil(at(ThirdVersionAt));
@@ -148,7 +148,8 @@
     }
     operatorThread.join();
     endAll();
-    record.line("of " + std::to_string(judged) + " requests sent later than 19 s after version 12 "
+    record.line("of " + std::to_string(judged) +
+                " requests sent later than 19 s after version 12 "
                 "was acknowledged, the old service ran " +
                 std::to_string(byOld) + " and the new one " + std::to_string(byNew));
     if (judged == 0 || byOld + byNew == 0)
--- a/review/13/cold_restart.cc
+++ b/review/13/cold_restart.cc
@@ -28,7 +28,8 @@
            "\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"attempts\":2}],"
            "\"services\":[{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":36,"
            "\"warmup_s\":3.0,\"warmup_per_s\":5},{\"name\":\"other\",\"health_path\":\"/health\","
-           "\"max_connections\":36,\"warmup_s\":3.0,\"warmup_per_s\":5}],\"limits\":{\"max_header_bytes\":16384,"
+           "\"max_connections\":36,\"warmup_s\":3.0,\"warmup_per_s\":5}],\"limits\":{\"max_header_"
+           "bytes\":16384,"
            "\"max_body_bytes\":262144,\"header_timeout_ms\":5000,\"idle_timeout_ms\":20000}}";
 }
 
@@ -72,9 +73,8 @@
         }
         const std::lock_guard lock(m_mutex);
         const Clock::time_point now = Clock::now();
-        std::erase_if(m_arrivals, [now](const auto &time) {
-            return now - time >= std::chrono::seconds(1);
-        });
+        std::erase_if(m_arrivals,
+                      [now](const auto &time) { return now - time >= std::chrono::seconds(1); });
         // Only requests that were sent inside the second that ends now count.
         if (now - sent < std::chrono::seconds(1))
             m_arrivals.push_back(sent);
@@ -117,8 +117,8 @@
     std::vector<std::unique_ptr<Searcher>> others;
     for (int i = 0; i < 10; ++i) {
         others.push_back(std::make_unique<Searcher>("i-other" + std::to_string(i), "other",
-                                                    network + "20",
-                                                    std::string("z") + "abc"[i % 3], record));
+                                                    network + "20", std::string("z") + "abc"[i % 3],
+                                                    record));
         all.push_back(others.back().get());
     }
     store.put("config", "main", configuration());
@@ -180,9 +180,9 @@
                     }
                     const bool isAfterRestart = sinceStart() > FirstRoundAt + DownFor;
                     record.line("client sends " + id);
-                    const Answer answer = call(fronts[random() % fronts.size()],
-                                               requestText("POST", "/book/x", id, 1000),
-                                               Seconds(1.15));
+                    const Answer answer =
+                            call(fronts[random() % fronts.size()],
+                                 requestText("POST", "/book/x", id, 1000), Seconds(1.15));
                     record.line("client gets " + std::to_string(answer.status) + " for " + id);
                     ++(answer.status == 200 ? answered : answer.status == 503 ? refused : failed);
                     if (answer.status != 200 && answer.status != 503 && isAfterRestart)
--- a/review/standins-3/http.hh
+++ b/review/standins-3/http.hh
@@ -54,7 +54,8 @@
     setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in native = toNative(address);
     socklen_t size = sizeof native;
-    if (bind(socket, reinterpret_cast<sockaddr *>(&native), size) != 0 || listen(socket, 512) != 0) {
+    if (bind(socket, reinterpret_cast<sockaddr *>(&native), size) != 0 ||
+        listen(socket, 512) != 0) {
         ::close(socket);
         return -1;
     }
@@ -132,7 +133,8 @@
 enum class ReadEnd { Message, Closed, Reset, TimedOut };
 
 /// Reads one message with a Content-Length or without a body. @p buffer keeps what follows it.
-inline ReadEnd readMessage(int socket, std::string &buffer, Message &message, Clock::time_point until)
+inline ReadEnd readMessage(int socket, std::string &buffer, Message &message,
+                           Clock::time_point until)
 {
     std::optional<std::size_t> headEnd;
     std::size_t length = 0;
@@ -288,8 +290,7 @@
     std::string buffer;
     if (sendAll(socket, request))
         answer.end = readMessage(socket, buffer, answer.message,
-                                 Clock::now() +
-                                         std::chrono::duration_cast<Clock::duration>(limit));
+                                 Clock::now() + std::chrono::duration_cast<Clock::duration>(limit));
     if (answer.end == ReadEnd::Message)
         answer.status = answer.message.status();
     ::close(socket);
--- a/review/standins-3/platform.hh
+++ b/review/standins-3/platform.hh
@@ -209,8 +209,8 @@
                 if (event.revision > from && event.kind == kind)
                     events += (events.empty() ? "" : ",") + event.text;
             if (!events.empty() || Clock::now() >= until)
-                return {200, "{\"events\":[" + events + "],\"current_rev\":" +
-                                     std::to_string(m_state.revision) + "}"};
+                return {200, "{\"events\":[" + events +
+                                     "],\"current_rev\":" + std::to_string(m_state.revision) + "}"};
             m_changed.wait_until(lock, until);
         }
     }
--- a/review/standins-3/searchers.hh
+++ b/review/standins-3/searchers.hh
@@ -17,8 +17,7 @@
         , m_service(std::move(service))
         , m_zone(std::move(zone))
         , m_record(record)
-        , m_server(std::make_unique<Server>(Address{ip, 0},
-                                            [this](int socket) { serve(socket); }))
+        , m_server(std::make_unique<Server>(Address{ip, 0}, [this](int socket) { serve(socket); }))
         , m_address(m_server->address())
     {
     }
@@ -55,9 +54,8 @@
     std::string nextEntry()
     {
         return "{\"service\":\"" + m_service + "\",\"address\":\"" + address().text() +
-               "\",\"zone\":\"" + m_zone +
-               "\",\"config_version\":\"v1\",\"slots\":2,\"state\":\"" + m_state +
-               "\",\"warmup_left_ms\":" +
+               "\",\"zone\":\"" + m_zone + "\",\"config_version\":\"v1\",\"slots\":2,\"state\":\"" +
+               m_state + "\",\"warmup_left_ms\":" +
                std::to_string(static_cast<int>(coldLeft().count() * 1000)) +
                ",\"sequence_number\":" + std::to_string(++m_sequence) +
                ",\"born\":" + std::to_string(m_born) + "}";
@@ -197,7 +195,8 @@
     return found;
 }
 
-/// @return a loopback network "127.A.B." on whose hosts 1 to @p hosts the fixed metrics port is free
+/// @return a loopback network "127.A.B." on whose hosts 1 to @p hosts the fixed metrics port is
+/// free
 inline std::string freeNetwork(int hosts)
 {
     std::minstd_rand random(std::random_device{}());
