--- a/review/11/restored_store.cc
+++ b/review/11/restored_store.cc
@@ -33,6 +33,7 @@
 {
     if (argc < 4)
         return 2;
+    endGatewaysOnSignals();
     const std::string folder = argv[1];
     Record record(argv[2]);
     const bool hasTrouble = std::string(argv[3]) != "0";
--- a/review/13/cold_restart.cc
+++ b/review/13/cold_restart.cc
@@ -99,6 +99,7 @@
 {
     if (argc < 4)
         return 2;
+    endGatewaysOnSignals();
     Record record(argv[2]);
     const bool hasTrouble = std::string(argv[3]) != "0";
     const std::string network = freeNetwork(3);
--- a/review/standins-3/platform.hh
+++ b/review/standins-3/platform.hh
@@ -3,6 +3,7 @@
 
 #include "http.hh"
 
+#include <array>
 #include <condition_variable>
 #include <csignal>
 #include <cstdio>
@@ -260,6 +261,28 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+/// Ids of the gateway processes that run; 0 in a free place.
+inline std::array<std::atomic<pid_t>, 16> runningGateways{};
+
+/// Ends the gateway processes if a signal ends this one.
+inline void endGatewaysOnSignals()
+{
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        std::signal(number, [](int) {
+            for (const std::atomic<pid_t> &process : runningGateways)
+                if (process > 0)
+                    ::kill(process, SIGKILL);
+            _exit(2);
+        });
+}
+
+inline void replaceRunning(pid_t from, pid_t to)
+{
+    for (std::atomic<pid_t> &place : runningGateways)
+        if (pid_t expected = from; place.compare_exchange_strong(expected, to))
+            return;
+}
+
 /// One process of the deploy file's role, on a loopback address of its own.
 class Gateway
 {
@@ -318,6 +341,8 @@
         posix_spawn_file_actions_destroy(&actions);
         if (error != 0)
             m_process = 0;
+        else
+            replaceRunning(0, m_process);
         return error == 0;
     }
     void signal(int number) const
@@ -332,6 +357,7 @@
             return;
         ::kill(m_process, SIGKILL);
         ::waitpid(m_process, nullptr, 0);
+        replaceRunning(m_process, 0);
         m_process = 0;
     }
     /// @return the wait status if the process has ended by itself
@@ -340,6 +366,7 @@
         int status = 0;
         if (m_process <= 0 || ::waitpid(m_process, &status, WNOHANG) != m_process)
             return std::nullopt;
+        replaceRunning(m_process, 0);
         m_process = 0;
         return status;
     }
